--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""A cell on one machine: stand-in targets, a launcher, a morning."""
--- /dev/null
+++ b/demo/cell.py
@@ -0,0 +1,282 @@
+"""Starts a cell of separate processes on loopback addresses.
+
+For tests and the demo: programs of the system start no other programs.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import time
+from typing import Any
+
+import httpx
+
+DATA_CENTRES = ('doto-kushiro', 'doto-obihiro', 'doto-nemuro')
+RACK_SIZE = 8
+READY_S = 40.0
+_POLL_S = 0.1
+_STOP_S = 10.0
+
+
+class CellError(Exception):
+    """The cell did not do what it was started for."""
+
+
+@dataclasses.dataclass
+class Process:
+    """One process of the cell."""
+
+    name: str
+    command: list[str]
+    log: pathlib.Path
+    running: subprocess.Popen[bytes] | None = None
+    killed_at: int = 0
+
+    def start(self) -> None:
+        """Start the process, appending to its log."""
+        with self.log.open('ab') as log:
+            self.running = subprocess.Popen(
+                self.command,
+                stdout=log,
+                stderr=log,
+                stdin=subprocess.DEVNULL,
+                env={**os.environ, 'PYTHONUNBUFFERED': '1'},
+            )
+
+    def signal(self, number: int) -> None:
+        """Send a signal if the process runs."""
+        if self.running is not None and self.running.poll() is None:
+            self.running.send_signal(number)
+
+    def kill(self) -> None:
+        """End the process at once and wait for it."""
+        self.signal(signal.SIGKILL)
+        if self.running is not None:
+            self.running.wait()
+        self.killed_at = time.monotonic_ns() // 1_000_000
+
+    def stop(self, seconds: float = _STOP_S) -> int:
+        """End the process in order; returns its exit code."""
+        self.signal(signal.SIGTERM)
+        if self.running is None:
+            return 0
+        try:
+            return self.running.wait(seconds)
+        except subprocess.TimeoutExpired:
+            self.kill()
+            return -1
+
+
+@dataclasses.dataclass(frozen=True)
+class Plan:
+    """How large a cell is and where its files are."""
+
+    folder: pathlib.Path
+    replicas: int = 3
+    entries: int = 2
+    targets: int = 24
+    spares: int = 0
+    behaviours: dict[int, str] = dataclasses.field(default_factory=dict)
+    replica_options: tuple[str, ...] = ()
+    entry_options: tuple[str, ...] = ()
+    target_options: tuple[str, ...] = ()
+
+
+class Cell:
+    """The processes of a cell, by name."""
+
+    def __init__(self, plan: Plan) -> None:
+        """Choose addresses and commands; start starts the processes."""
+        self.plan = plan
+        self.processes: dict[str, Process] = {}
+        count = plan.replicas + plan.spares
+        ports = free_ports(count + plan.entries)
+        self.replica_addresses = [f'127.0.0.1:{port}' for port in ports[:count]]
+        self.entry_addresses = [f'127.0.0.1:{port}' for port in ports[count:]]
+        self.history = plan.folder / 'history.jsonl'
+        # What replicas and entries dial; tests put relays in between.
+        self.dialled_replicas = list(self.replica_addresses)
+        self.dialled_entries = list(self.entry_addresses)
+
+    def start(self) -> None:
+        """Start all processes and wait until the targets have sessions."""
+        self.plan.folder.mkdir(parents=True, exist_ok=True)
+        for number in range(self.plan.replicas):
+            self.found_replica(number)
+        for number in range(self.plan.replicas + self.plan.spares):
+            self.add_replica(number).start()
+        for number in range(self.plan.entries):
+            self.add_entry(number).start()
+        for number in range(self.plan.targets):
+            self.add_target(number).start()
+        self.wait_ready(self.plan.targets)
+
+    def found_replica(self, number: int) -> None:
+        """Write the identity of a founding replica."""
+        founders = ','.join(
+            f'replica-{place}={self.dialled_replicas[place]}'
+            f'@{DATA_CENTRES[place % len(DATA_CENTRES)]}'
+            for place in range(self.plan.replicas)
+        )
+        subprocess.run(
+            [
+                *program('replica'),
+                'init',
+                '--data',
+                str(self.plan.folder / f'replica-{number}'),
+                '--name',
+                f'replica-{number}',
+                '--founders',
+                founders,
+            ],
+            check=True,
+        )
+
+    def add_replica(self, number: int) -> Process:
+        """Return the process of a replica, not started."""
+        name = f'replica-{number}'
+        return self._add(
+            name,
+            [
+                *program('replica'),
+                'run',
+                '--data',
+                str(self.plan.folder / name),
+                '--name',
+                name,
+                '--data-centre',
+                DATA_CENTRES[number % len(DATA_CENTRES)],
+                '--listen',
+                self.replica_addresses[number],
+                '--advertise',
+                self.dialled_replicas[number],
+                '--replicas',
+                ','.join(self.dialled_replicas),
+                *self.plan.replica_options,
+            ],
+        )
+
+    def add_entry(self, number: int) -> Process:
+        """Return the process of an entry, not started."""
+        name = f'entry-{number}'
+        return self._add(
+            name,
+            [
+                *program('entry'),
+                '--name',
+                name,
+                '--data-centre',
+                DATA_CENTRES[number % len(DATA_CENTRES)],
+                '--listen',
+                self.entry_addresses[number],
+                '--replicas',
+                ','.join(self.dialled_replicas),
+                *self.plan.entry_options,
+            ],
+        )
+
+    def add_target(self, number: int) -> Process:
+        """Return the process of a target, not started."""
+        name = f'target-{number}'
+        entries = self.dialled_entries
+        turn = number % len(entries)
+        rack = number // RACK_SIZE
+        return self._add(
+            name,
+            [
+                sys.executable,
+                '-m',
+                'demo.stand_in',
+                name,
+                ','.join([*entries[turn:], *entries[:turn]]),
+                '--data-centre',
+                DATA_CENTRES[rack % len(DATA_CENTRES)],
+                '--rack',
+                f'rack-{rack}',
+                '--behaviour',
+                self.plan.behaviours.get(number, 'obey'),
+                '--history',
+                str(self.history),
+                *self.plan.target_options,
+            ],
+        )
+
+    def wait_ready(self, targets: int) -> None:
+        """Wait until every entry is ready and that many targets serve."""
+        deadline = time.monotonic() + READY_S
+        while time.monotonic() < deadline:
+            if self._is_ready(targets):
+                return
+            time.sleep(_POLL_S)
+        raise CellError(f'the cell was not ready within {READY_S} s')
+
+    def get(self, path: str, entry: int = 0) -> dict[str, Any]:
+        """Return what an entry answers to a GET."""
+        url = f'http://{self.entry_addresses[entry]}{path}'
+        answered: dict[str, Any] = httpx.get(url, timeout=15).json()
+        return answered
+
+    def leader(self) -> str:
+        """Return the name of the process that leads."""
+        deadline = time.monotonic() + READY_S
+        while time.monotonic() < deadline:
+            try:
+                leader = self.get('/v1/members').get('leader')
+            except httpx.HTTPError:
+                leader = None
+            if leader:
+                return str(leader)
+            time.sleep(_POLL_S)
+        raise CellError('no leader was found')
+
+    def stop(self) -> None:
+        """End all processes, targets first."""
+        for process in reversed(self.processes.values()):
+            process.signal(signal.SIGCONT)
+            process.signal(signal.SIGKILL)
+        for process in self.processes.values():
+            if process.running is not None:
+                process.running.wait()
+
+    def _add(self, name: str, command: list[str]) -> Process:
+        log = self.plan.folder / f'{name}.log'
+        self.processes[name] = Process(name, command, log)
+        return self.processes[name]
+
+    def _is_ready(self, targets: int) -> bool:
+        try:
+            shown = [
+                self.get('/v1/targets', entry)
+                for entry in range(len(self.entry_addresses))
+            ]
+        except httpx.HTTPError:
+            return False
+        return all(
+            len([one for one in answer.get('targets', []) if one['session']])
+            >= targets
+            for answer in shown
+        )
+
+
+def program(name: str) -> list[str]:
+    """Return the command of one of the system's programs."""
+    return [sys.executable, '-m', f'mulberrywalk.{name}.program']
+
+
+def free_ports(count: int) -> list[int]:
+    """Return loopback ports that nothing listens on."""
+    sockets = [
+        socket.socket(socket.AF_INET, socket.SOCK_STREAM) for _ in range(count)
+    ]
+    for opened in sockets:
+        opened.bind(('127.0.0.1', 0))
+    ports = [int(opened.getsockname()[1]) for opened in sockets]
+    for opened in sockets:
+        opened.close()
+    return ports
--- /dev/null
+++ b/mulberrywalk/__init__.py
@@ -0,0 +1,1 @@
+"""Cluster scheduler for unlike workloads."""
--- /dev/null
+++ b/mulberrywalk/consensus/__init__.py
@@ -0,0 +1,1 @@
+"""The replicated log: election, replication, membership, snapshots."""
--- /dev/null
+++ b/mulberrywalk/consensus/election.py
@@ -0,0 +1,228 @@
+"""Election of a leader: pre-vote, vote and hand-over."""
+
+from __future__ import annotations
+
+from . import message, node
+
+
+def follow(state: node.Node, term: int, effects: list[node.Effect]) -> None:
+    """Follow in a term; a later term clears the vote and is saved."""
+    if term > state.term:
+        state.term = term
+        state.vote = None
+        effects.append(node.SaveVote(term, None))
+        state.leader = None
+    become(state, node.Role.FOLLOWER, effects)
+    defer(state)
+
+
+def become(
+    state: node.Node, role: node.Role, effects: list[node.Effect]
+) -> None:
+    """Take a role and report it when it differs from the present one."""
+    if state.role is role:
+        return
+    state.role = role
+    state.handover_to = None
+    state.progress = {}
+    effects.append(node.RoleChanged(role, state.term))
+
+
+def defer(state: node.Node) -> None:
+    """Start the election timeout anew."""
+    state.election_at = state.now + node.election_timeout(state)
+
+
+def is_leased(state: node.Node) -> bool:
+    """Return whether a leader that was heard may still hold its lease."""
+    return state.now < state.heard_at + state.timing.election_ms
+
+
+def is_vote_refused_by_lease(state: node.Node, body: message.Message) -> bool:
+    """Return whether a vote request is ignored without taking its term.
+
+    A removed or cut-off replica must not depose a leader whose lease holds.
+    """
+    if not isinstance(body, message.VoteRequest) or body.handover:
+        return False
+    if state.role is node.Role.LEADER:
+        return node.holds_lease(state, state.now)
+    return is_leased(state)
+
+
+def stand(state: node.Node, effects: list[node.Effect]) -> None:
+    """Ask the voters whether an election could be won."""
+    state.elections += 1
+    defer(state)
+    if not state.is_voter():
+        return
+    become(state, node.Role.PRE_CANDIDATE, effects)
+    state.leader = None
+    state.granted = {state.identity}
+    if _has_won(state):
+        campaign(state, effects, handover=False)
+        return
+    request = message.PreVoteRequest(
+        state.term + 1, state.log.last_index(), state.log.last_term()
+    )
+    _broadcast(state, request, effects, is_after_sync=False)
+
+
+def campaign(
+    state: node.Node, effects: list[node.Effect], *, handover: bool
+) -> None:
+    """Start a term, vote for this replica and ask the others."""
+    state.term += 1
+    state.vote = state.identity
+    state.leader = None
+    effects.append(node.SaveVote(state.term, state.vote))
+    become(state, node.Role.CANDIDATE, effects)
+    state.granted = {state.identity}
+    defer(state)
+    if _has_won(state):
+        lead(state, effects)
+        return
+    request = message.VoteRequest(
+        state.term,
+        state.log.last_index(),
+        state.log.last_term(),
+        handover,
+    )
+    _broadcast(state, request, effects, is_after_sync=True)
+
+
+def lead(state: node.Node, effects: list[node.Effect]) -> None:
+    """Become the leader and append the first entry of the term.
+
+    That entry carries earlier entries to their commit, which a leader may
+    not count by replicas alone.
+    """
+    become(state, node.Role.LEADER, effects)
+    state.leader = state.identity
+    state.led_from = state.now
+    state.term_started_index = state.log.last_index() + 1
+    state.heartbeat_at = state.now
+    for peer in state.peers():
+        track(state, peer)
+    entry = message.LogEntry(
+        state.term_started_index, state.term, message.EntryKind.NOOP, b''
+    )
+    state.log.append(entry)
+    effects.append(node.SaveEntries((entry,)))
+
+
+def track(state: node.Node, peer: message.ReplicaId) -> None:
+    """Start to follow the progress of another replica."""
+    if peer not in state.progress:
+        state.progress[peer] = node.Progress(
+            next_index=state.log.last_index() + 1,
+            acknowledged_at=state.led_from,
+        )
+
+
+def answer_pre_vote(
+    state: node.Node,
+    sender: message.ReplicaId,
+    body: message.PreVoteRequest,
+    effects: list[node.Effect],
+) -> None:
+    """Say whether this replica would vote; nothing is promised."""
+    is_free = not (state.role is node.Role.LEADER or is_leased(state))
+    granted = (
+        is_free
+        and body.term > state.term
+        and _is_current(state, body.last_index, body.last_term)
+    )
+    # A refusal tells the own term, so that a candidate whose log is the
+    # longest but whose term is behind does not ask in vain for ever.
+    reply = message.PreVoteReply(body.term if granted else state.term, granted)
+    effects.append(node.Send(sender, reply, is_after_sync=False))
+
+
+def count_pre_vote(
+    state: node.Node,
+    sender: message.ReplicaId,
+    body: message.PreVoteReply,
+    effects: list[node.Effect],
+) -> None:
+    """Count a pre-vote and start the election when a quorum agrees."""
+    if state.role is not node.Role.PRE_CANDIDATE:
+        return
+    if not body.granted and body.term > state.term:
+        follow(state, body.term, effects)
+        return
+    if body.granted and body.term == state.term + 1:
+        state.granted.add(sender)
+        if _has_won(state):
+            campaign(state, effects, handover=False)
+
+
+def answer_vote(
+    state: node.Node,
+    sender: message.ReplicaId,
+    body: message.VoteRequest,
+    effects: list[node.Effect],
+) -> None:
+    """Vote once a term, for a candidate whose log is as complete."""
+    granted = (
+        body.term == state.term
+        and state.role is node.Role.FOLLOWER
+        and state.vote in {None, sender}
+        and _is_current(state, body.last_index, body.last_term)
+    )
+    if granted and state.vote is None:
+        state.vote = sender
+        effects.append(node.SaveVote(state.term, sender))
+        defer(state)
+    reply = message.VoteReply(state.term, granted)
+    effects.append(node.Send(sender, reply, is_after_sync=True))
+
+
+def count_vote(
+    state: node.Node,
+    sender: message.ReplicaId,
+    body: message.VoteReply,
+    effects: list[node.Effect],
+) -> None:
+    """Count a vote and lead when a quorum has voted."""
+    if state.role is not node.Role.CANDIDATE or body.term != state.term:
+        return
+    if body.granted:
+        state.granted.add(sender)
+        if _has_won(state):
+            lead(state, effects)
+
+
+def accept_handover(
+    state: node.Node,
+    sender: message.ReplicaId,
+    body: message.HandoverRequest,
+    effects: list[node.Effect],
+) -> None:
+    """Stand for election at once, as the leader asked."""
+    if body.term == state.term and state.is_voter():
+        if state.leader == sender:
+            campaign(state, effects, handover=True)
+
+
+def _has_won(state: node.Node) -> bool:
+    voters = set(state.membership.voters())
+    return len(state.granted & voters) >= state.membership.quorum()
+
+
+def _is_current(state: node.Node, last_index: int, last_term: int) -> bool:
+    own = (state.log.last_term(), state.log.last_index())
+    return (last_term, last_index) >= own
+
+
+def _broadcast(
+    state: node.Node,
+    body: message.Message,
+    effects: list[node.Effect],
+    *,
+    is_after_sync: bool,
+) -> None:
+    voters = [one for one in state.membership.voters() if one != state.identity]
+    effects.extend(
+        node.Send(voter, body, is_after_sync=is_after_sync) for voter in voters
+    )
--- /dev/null
+++ b/mulberrywalk/consensus/replication.py
@@ -0,0 +1,406 @@
+"""Replication of the log: appends, commits, snapshots, membership."""
+
+from __future__ import annotations
+
+import msgspec
+
+from . import election, message, node
+
+_HANDOVER_MS = 1000
+_SNAPSHOT_RETRY_MS = 1000
+
+
+def lead(state: node.Node, effects: list[node.Effect]) -> None:
+    """Send heartbeats, and step down when a quorum stays silent."""
+    silent_ms = state.now - node.confirmed_at(state)
+    if silent_ms >= 2 * state.timing.election_ms:
+        election.follow(state, state.term, effects)
+        state.leader = None
+        return
+    if state.handover_to is not None and state.now >= state.handover_until:
+        # The request may still arrive, so the lease of this term is void.
+        election.follow(state, state.term, effects)
+        state.leader = None
+        return
+    if state.now >= state.heartbeat_at:
+        state.heartbeat_at = state.now + state.timing.heartbeat_ms
+        for peer in state.peers():
+            _probe_again(state, peer)
+            _send_heartbeat(state, peer, effects)
+
+
+def propose(
+    state: node.Node, entered: node.Proposed, effects: list[node.Effect]
+) -> None:
+    """Append commands and send them on; a follower ignores them."""
+    if state.role is not node.Role.LEADER or state.handover_to is not None:
+        return
+    first = state.log.last_index() + 1
+    entries = tuple(
+        message.LogEntry(
+            first + offset, state.term, message.EntryKind.COMMAND, payload
+        )
+        for offset, payload in enumerate(entered.payloads)
+    )
+    _append(state, entries, effects)
+
+
+def propose_membership(
+    state: node.Node,
+    entered: node.MembershipProposed,
+    effects: list[node.Effect],
+) -> None:
+    """Append a membership that differs by one replica.
+
+    Refused while another change is uncommitted or before the leader has
+    committed an entry of its own term, for two changes at once can give two
+    quorums that do not meet.
+    """
+    if not can_change_membership(state):
+        return
+    if not _differs_by_one(state.membership, entered.membership):
+        return
+    entry = message.LogEntry(
+        state.log.last_index() + 1,
+        state.term,
+        message.EntryKind.MEMBERSHIP,
+        msgspec.msgpack.encode(entered.membership),
+    )
+    _append(state, (entry,), effects)
+
+
+def can_change_membership(state: node.Node) -> bool:
+    """Return whether a membership change may start now."""
+    if state.role is not node.Role.LEADER or state.handover_to is not None:
+        return False
+    if state.commit_index < state.term_started_index:
+        return False
+    committed = state.log.membership_at(state.commit_index)
+    return committed == state.membership
+
+
+def propose_handover(
+    state: node.Node,
+    entered: node.HandoverProposed,
+    effects: list[node.Effect],
+) -> None:
+    """Choose the most complete voter and let it stand for election."""
+    if state.role is not node.Role.LEADER or state.handover_to is not None:
+        return
+    voters = [one for one in state.membership.voters() if one in state.progress]
+    if not voters:
+        return
+    chosen = max(
+        voters,
+        key=lambda voter: (
+            state.progress[voter].match_index,
+            state.progress[voter].acknowledged_at,
+        ),
+    )
+    state.handover_to = chosen
+    state.handover_until = state.now + _HANDOVER_MS
+    _send_append(state, chosen, effects)
+    _finish_handover(state, effects)
+
+
+def sync(
+    state: node.Node, entered: node.Synced, effects: list[node.Effect]
+) -> None:
+    """Count the own disk; a stale report of replaced entries is ignored."""
+    if state.log.term_at(entered.index) == entered.term:
+        state.synced_index = max(state.synced_index, entered.index)
+
+
+def compact(
+    state: node.Node, entered: node.Compacted, effects: list[node.Effect]
+) -> None:
+    """Drop the entries that a snapshot on the disk covers."""
+    if state.log.snapshot_index < entered.index <= state.applied_index:
+        state.log.compact(entered.index, state.log.membership_at(entered.index))
+
+
+def answer_append(
+    state: node.Node,
+    sender: message.ReplicaId,
+    body: message.AppendRequest,
+    effects: list[node.Effect],
+) -> None:
+    """Take the leader's entries, or say where the logs may agree."""
+    if body.term < state.term:
+        _refuse(state, sender, body, effects, state.log.last_index() + 1)
+        return
+    _hear(state, sender, effects)
+    known = state.log.term_at(body.previous_index)
+    if body.previous_index < state.log.snapshot_index:
+        known = body.previous_term
+    if known != body.previous_term:
+        retry_at = min(body.previous_index, state.log.last_index() + 1)
+        _refuse(state, sender, body, effects, retry_at)
+        return
+    _take_entries(state, body.entries, effects)
+    match = body.previous_index + len(body.entries)
+    state.commit_index = max(state.commit_index, min(body.commit, match))
+    reply = message.AppendReply(
+        state.term, succeeded=True, match=match, sent_at=body.sent_at
+    )
+    effects.append(node.Send(sender, reply, is_after_sync=True))
+
+
+def count_append(
+    state: node.Node,
+    sender: message.ReplicaId,
+    body: message.AppendReply,
+    effects: list[node.Effect],
+) -> None:
+    """Note how far a replica's log agrees and send what it lacks."""
+    if state.role is not node.Role.LEADER or body.term != state.term:
+        return
+    if sender not in state.progress:
+        return
+    progress = state.progress[sender]
+    progress.acknowledged_at = max(progress.acknowledged_at, body.sent_at)
+    if body.succeeded:
+        progress.is_probing = False
+        progress.match_index = max(progress.match_index, body.match)
+        progress.next_index = max(progress.next_index, body.match + 1)
+        _finish_handover(state, effects)
+    else:
+        progress.is_probing = True
+        progress.next_index = max(
+            progress.match_index + 1, min(body.match, progress.next_index - 1)
+        )
+    if progress.next_index <= state.log.last_index():
+        _send_append(state, sender, effects)
+
+
+def answer_snapshot(
+    state: node.Node,
+    sender: message.ReplicaId,
+    body: message.SnapshotRequest,
+    effects: list[node.Effect],
+) -> None:
+    """Replace state and log by the leader's snapshot when it is newer."""
+    if body.term < state.term:
+        return
+    _hear(state, sender, effects)
+    received = body.snapshot
+    if received.index > state.commit_index:
+        _install(state, received, effects)
+    reply = message.AppendReply(
+        state.term,
+        succeeded=True,
+        match=received.index,
+        sent_at=body.sent_at,
+    )
+    effects.append(node.Send(sender, reply, is_after_sync=True))
+
+
+def commit(state: node.Node, effects: list[node.Effect]) -> None:
+    """Advance the commit index and hand out what became committed.
+
+    Only an entry of the leader's own term is counted by replicas; earlier
+    ones follow with it.
+    """
+    if state.role is node.Role.LEADER:
+        agreed = _agreed_index(state)
+        if agreed > state.commit_index:
+            if state.log.term_at(agreed) == state.term:
+                state.commit_index = agreed
+    # A follower applies only what its own disk holds.
+    ready = min(state.commit_index, state.synced_index)
+    if ready > state.applied_index:
+        first = state.applied_index + 1
+        entries = state.log.slice(first, ready - state.applied_index)
+        effects.extend(map(node.Apply, entries))
+        state.applied_index = ready
+        _leave_if_removed(state, effects)
+
+
+def _leave_if_removed(state: node.Node, effects: list[node.Effect]) -> None:
+    if state.role is node.Role.LEADER and not state.is_voter():
+        committed = state.log.membership_at(state.commit_index)
+        if committed == state.membership:
+            election.follow(state, state.term, effects)
+            state.leader = None
+
+
+def _agreed_index(state: node.Node) -> int:
+    matches = sorted(
+        (
+            state.synced_index
+            if voter == state.identity
+            else state.progress[voter].match_index
+            for voter in state.membership.voters()
+        ),
+        reverse=True,
+    )
+    return matches[state.membership.quorum() - 1]
+
+
+def _append(
+    state: node.Node,
+    entries: tuple[message.LogEntry, ...],
+    effects: list[node.Effect],
+) -> None:
+    for entry in entries:
+        state.log.append(entry)
+    effects.append(node.SaveEntries(entries))
+    _adopt_membership(state, entries)
+    for peer in state.peers():
+        if not state.progress[peer].is_probing:
+            _send_append(state, peer, effects)
+
+
+def _adopt_membership(
+    state: node.Node, entries: tuple[message.LogEntry, ...]
+) -> None:
+    # A membership is in force as soon as it stands in the log.
+    if any(one.kind is message.EntryKind.MEMBERSHIP for one in entries):
+        _restore_membership(state)
+
+
+def _restore_membership(state: node.Node) -> None:
+    state.membership = state.log.membership_at(state.log.last_index())
+    if state.role is node.Role.LEADER:
+        for peer in state.peers():
+            election.track(state, peer)
+
+
+def _differs_by_one(old: message.Membership, new: message.Membership) -> bool:
+    return len(set(old.voters()) ^ set(new.voters())) <= 1
+
+
+def _probe_again(state: node.Node, peer: message.ReplicaId) -> None:
+    # Messages may have been lost: after silence, restart from what is known.
+    progress = state.progress[peer]
+    if state.now - progress.acknowledged_at > state.timing.election_ms:
+        progress.is_probing = True
+        progress.next_index = progress.match_index + 1
+
+
+def _send_heartbeat(
+    state: node.Node, peer: message.ReplicaId, effects: list[node.Effect]
+) -> None:
+    progress = state.progress[peer]
+    sent = len(effects)
+    _send_append(state, peer, effects)
+    if len(effects) > sent:
+        return
+    # A snapshot is under way: its receiver still has to hear the leader.
+    log = state.log
+    request = message.AppendRequest(
+        state.term,
+        log.snapshot_index,
+        log.snapshot_term,
+        (),
+        min(state.commit_index, progress.match_index),
+        state.now,
+    )
+    effects.append(node.Send(peer, request, is_after_sync=False))
+
+
+def _send_append(
+    state: node.Node, peer: message.ReplicaId, effects: list[node.Effect]
+) -> None:
+    progress = state.progress[peer]
+    previous = progress.next_index - 1
+    previous_term = state.log.term_at(previous)
+    if previous_term is None:
+        _send_snapshot(state, peer, effects)
+        return
+    entries = state.log.slice(progress.next_index, state.timing.batch_entries)
+    request = message.AppendRequest(
+        state.term,
+        previous,
+        previous_term,
+        entries,
+        state.commit_index,
+        state.now,
+    )
+    if not progress.is_probing:
+        progress.next_index += len(entries)
+    effects.append(node.Send(peer, request, is_after_sync=False))
+
+
+def _send_snapshot(
+    state: node.Node, peer: message.ReplicaId, effects: list[node.Effect]
+) -> None:
+    progress = state.progress[peer]
+    progress.is_probing = True
+    if state.now >= progress.snapshot_at + _SNAPSHOT_RETRY_MS:
+        progress.snapshot_at = state.now
+        effects.append(node.SendSnapshot(peer, state.term, state.now))
+
+
+def _finish_handover(state: node.Node, effects: list[node.Effect]) -> None:
+    chosen = state.handover_to
+    if chosen is None:
+        return
+    if state.progress[chosen].match_index == state.log.last_index():
+        request = message.HandoverRequest(state.term)
+        effects.append(node.Send(chosen, request, is_after_sync=False))
+
+
+def _hear(
+    state: node.Node,
+    sender: message.ReplicaId,
+    effects: list[node.Effect],
+) -> None:
+    if state.role is not node.Role.FOLLOWER:
+        election.follow(state, state.term, effects)
+    state.leader = sender
+    state.heard_at = state.now
+    election.defer(state)
+
+
+def _refuse(
+    state: node.Node,
+    sender: message.ReplicaId,
+    body: message.AppendRequest,
+    effects: list[node.Effect],
+    retry_at: int,
+) -> None:
+    reply = message.AppendReply(
+        state.term, succeeded=False, match=retry_at, sent_at=body.sent_at
+    )
+    effects.append(node.Send(sender, reply, is_after_sync=True))
+
+
+def _take_entries(
+    state: node.Node,
+    entries: tuple[message.LogEntry, ...],
+    effects: list[node.Effect],
+) -> None:
+    fresh = tuple(
+        entry
+        for entry in entries
+        if entry.index > state.log.snapshot_index
+        and state.log.term_at(entry.index) != entry.term
+    )
+    if not fresh:
+        return
+    first = fresh[0].index
+    if first <= state.commit_index:
+        raise AssertionError(f'committed entry {first} would be replaced')
+    fresh = tuple(entry for entry in entries if entry.index >= first)
+    state.log.truncate(first)
+    state.synced_index = min(state.synced_index, first - 1)
+    for entry in fresh:
+        state.log.append(entry)
+    _restore_membership(state)
+    effects.append(node.SaveEntries(fresh))
+
+
+def _install(
+    state: node.Node,
+    received: message.Snapshot,
+    effects: list[node.Effect],
+) -> None:
+    state.log = node.replica_log.Log(
+        received.index, received.term, received.membership
+    )
+    state.membership = received.membership
+    state.commit_index = received.index
+    state.applied_index = received.index
+    state.synced_index = received.index
+    effects.append(node.InstallSnapshot(received))
--- /dev/null
+++ b/mulberrywalk/core/__init__.py
@@ -0,0 +1,1 @@
+"""The replicated decisions: records, events, effects and the reducer."""
--- /dev/null
+++ b/mulberrywalk/core/admission.py
@@ -0,0 +1,205 @@
+"""Admission and cancellation of jobs."""
+
+from __future__ import annotations
+
+import msgspec
+
+from . import (
+    configuration,
+    effect,
+    event,
+    identity,
+    job,
+    lifecycle,
+    outcome,
+    state,
+    waiting,
+)
+
+_RETRY_AFTER_MS = 1000
+
+
+def submit(
+    tables: state.State, submitted: event.JobSubmitted
+) -> outcome.Outcome:
+    """Accept a job, return the first answer to a resent one, or refuse.
+
+    A refused job leaves no trace in the state: a resend is judged anew.
+    """
+    specification = submitted.specification
+    request = (specification.team, specification.request_id)
+    known = tables.requests.get(request)
+    if known is not None:
+        return _answer_again(tables.jobs[known], submitted.digest)
+    refusal = _refuse(tables, specification)
+    if refusal is not None:
+        return refusal
+    record = job.Job(
+        job=identity.JobId(f'j{tables.next_sequence()}'),
+        specification=specification,
+        digest=submitted.digest,
+        state=job.JobState.QUEUED,
+        submitted_at=tables.time,
+        unfinished=len(specification.tasks),
+    )
+    tables.jobs[record.job] = record
+    tables.requests[request] = record.job
+    for number in range(len(specification.tasks)):
+        lifecycle.wait(tables, _create_task(record, number))
+    tables.emit(
+        effect.Trace(
+            'accepted', job=record.job, detail=specification.request_id
+        )
+    )
+    return outcome.Accepted(record.job)
+
+
+def cancel(
+    tables: state.State, cancelled: event.JobCancelled
+) -> outcome.Outcome:
+    """End the waiting tasks of a job and stop those that run."""
+    record = tables.jobs.get(cancelled.job)
+    if record is None:
+        return outcome.NotRun(
+            outcome.RefusalReason.NOT_FOUND, f'no job {cancelled.job}'
+        )
+    if record.unfinished and not record.is_cancelled:
+        tables.jobs[record.job] = msgspec.structs.replace(
+            record, is_cancelled=True
+        )
+        for task in lifecycle.tasks_of(tables, record):
+            _cancel_task(tables, task)
+    return outcome.Cancelled(record.job, tables.jobs[record.job].state)
+
+
+def forget_finished(tables: state.State) -> None:
+    """Drop finished jobs past their retention, or above the bound."""
+    document = tables.configuration.document
+    oldest_kept = tables.time - document.finished_retention_ms
+    while tables.finished:
+        ended_at, identifier = tables.finished[0]
+        is_surplus = len(tables.finished) > document.finished_jobs
+        if ended_at >= oldest_kept and not is_surplus:
+            return
+        tables.finished.pop(0)
+        _forget(tables, identifier)
+
+
+def _forget(tables: state.State, identifier: identity.JobId) -> None:
+    record = tables.jobs[identifier]
+    for task in lifecycle.tasks_of(tables, record):
+        tables.tasks.pop(task.task)
+    tables.jobs.pop(identifier)
+    specification = record.specification
+    tables.requests.pop((specification.team, specification.request_id))
+
+
+def _answer_again(record: job.Job, digest: str) -> outcome.Outcome:
+    if record.digest == digest:
+        return outcome.Accepted(record.job)
+    return outcome.NotRun(
+        outcome.RefusalReason.REQUEST_REUSED,
+        f'request id {record.specification.request_id} was used for another '
+        f'body, by job {record.job}',
+    )
+
+
+def _refuse(
+    tables: state.State, specification: job.Specification
+) -> outcome.NotRun | None:
+    key = waiting.queue_key(specification.urgency, specification.team)
+    limits = tables.configuration.document.classes[specification.urgency]
+    bound = limits.queued_tasks_per_team
+    waiting_tasks = tables.waiting.counts.get(key, 0)
+    if waiting_tasks + len(specification.tasks) <= bound:
+        return None
+    return outcome.NotRun(
+        outcome.RefusalReason.QUEUE_FULL,
+        f'team {specification.team} has {waiting_tasks} of {bound} tasks of '
+        f'urgency {specification.urgency.value} waiting',
+        _RETRY_AFTER_MS,
+    )
+
+
+def _create_task(record: job.Job, number: int) -> job.Task:
+    return job.Task(
+        task=job.task_id(record.job, number),
+        job=record.job,
+        number=number,
+        state=job.TaskState.WAITING,
+        submitted_at=record.submitted_at,
+        waiting_since=record.submitted_at,
+    )
+
+
+def _cancel_task(tables: state.State, task: job.Task) -> None:
+    if task.state is job.TaskState.WAITING:
+        lifecycle.stop_waiting(tables, task)
+        lifecycle.finish(tables, task, job.TaskState.CANCELLED)
+    elif task.attempt is not None:
+        attempt = tables.attempts[task.attempt]
+        lifecycle.stop(tables, attempt, job.StopReason.CANCELLED)
+
+
+def patch(
+    tables: state.State, patched: event.ConfigurationPatched
+) -> outcome.Outcome:
+    """Accept a patch of the present version, or refuse it.
+
+    A request id gets its first answer for as long as it is remembered.
+    """
+    digest = configuration.digest(patched.version, patched.changes)
+    known = tables.patches.get(patched.request_id)
+    if known is None:
+        known = _decide_patch(tables, patched, digest)
+        _remember(tables, patched.request_id, known)
+    if known.digest != digest:
+        return outcome.PatchRefused(
+            outcome.RefusalReason.REQUEST_REUSED,
+            f'request id {patched.request_id} was used for another patch',
+            tables.configuration,
+        )
+    if known.refusal:
+        return outcome.PatchRefused(
+            outcome.RefusalReason(known.refusal),
+            known.detail,
+            tables.configuration,
+        )
+    return outcome.PatchAccepted(known.version)
+
+
+def _decide_patch(
+    tables: state.State,
+    patched: event.ConfigurationPatched,
+    digest: str,
+) -> state.PatchRecord:
+    current = tables.configuration
+    if patched.version != current.version:
+        return state.PatchRecord(
+            digest,
+            current.version,
+            outcome.RefusalReason.STALE_VERSION.value,
+            f'the patch amends version {patched.version}, '
+            f'the current one is {current.version}',
+        )
+    document = configuration.patch(current.document, patched.changes)
+    if isinstance(document, configuration.PatchRejected):
+        return state.PatchRecord(
+            digest,
+            current.version,
+            outcome.RefusalReason.INVALID_PATCH.value,
+            document.reason,
+        )
+    version = current.version + 1
+    tables.configuration = configuration.Configuration(version, document)
+    tables.emit(effect.PublishConfiguration(version))
+    tables.emit(effect.Trace('configured', detail=f'version {version}'))
+    return state.PatchRecord(digest, version)
+
+
+def _remember(
+    tables: state.State, request_id: str, record: state.PatchRecord
+) -> None:
+    tables.patches[request_id] = record
+    if len(tables.patches) > state.PATCHES_KEPT:
+        tables.patches.pop(next(iter(tables.patches)))
--- /dev/null
+++ b/mulberrywalk/core/dispatch.py
@@ -0,0 +1,149 @@
+"""The scheduling pass: which waiting task is placed next, and where.
+
+Queues are served in the order of key_of_turn: urgencies below their floor
+first, then by urgency, then the team with the smallest weighted share.
+"""
+
+from __future__ import annotations
+
+import heapq
+from typing import NamedTuple
+
+from . import (
+    admission,
+    configuration,
+    fleet,
+    gang,
+    health,
+    identity,
+    job,
+    lifecycle,
+    placement,
+    preemption,
+    resource,
+    state,
+    waiting,
+)
+
+_LOOK_AHEAD = 16
+_URGENCIES = tuple(job.Urgency)
+
+
+class Turn(NamedTuple):
+    """When a queue is served; the smallest goes first."""
+
+    is_above_floor: bool
+    rank: int
+    weighted_share: int
+    team: str
+
+
+def run(tables: state.State) -> None:
+    """Release what is due and place all that fits."""
+    for name in tables.waiting.due(tables.time):
+        lifecycle.enqueue(tables, tables.tasks[name])
+    health.release_due(tables)
+    admission.forget_finished(tables)
+    gang.review(tables)
+    turns = [turn_of(tables, key) for key in tables.waiting.queues]
+    heapq.heapify(turns)
+    while turns:
+        turn = heapq.heappop(turns)
+        key = waiting.QueueKey(turn.rank, turn.team)
+        latest = turn_of(tables, key)
+        if latest > turn:
+            # Usage has grown since this turn was entered.
+            heapq.heappush(turns, latest)
+        elif serve(tables, key) and key in tables.waiting.queues:
+            heapq.heappush(turns, turn_of(tables, key))
+
+
+def turn_of(tables: state.State, key: waiting.QueueKey) -> Turn:
+    """Return the turn of a queue by the present usage."""
+    urgency = _URGENCIES[key.rank]
+    document = tables.configuration.document
+    total = tables.fleet.total
+    share = resource.dominant_share(tables.urgency_usage[urgency], total)
+    floor = document.classes[urgency].floor
+    team_share = resource.dominant_share(
+        tables.team_usage.get(key.team, resource.NOTHING), total
+    )
+    weight = configuration.team_limits(document, key.team).weight
+    return Turn(
+        share >= floor,
+        key.rank,
+        team_share * configuration.NORMAL_WEIGHT // weight,
+        key.team,
+    )
+
+
+def serve(tables: state.State, key: waiting.QueueKey) -> bool:
+    """Place one task or gang of a queue and return whether it could.
+
+    Tasks behind one that does not fit are tried too, a few of them, so that
+    a large task does not hold up small ones.
+    """
+    if is_over_quota(tables, key.team):
+        return False
+    positions = tables.waiting.heads(key, _LOOK_AHEAD)
+    if any(_place(tables, position.task) for position in positions):
+        return True
+    if positions:
+        preemption.make_room(tables, key, tables.tasks[positions[0].task])
+    return False
+
+
+def is_over_quota(tables: state.State, team: str) -> bool:
+    """Return whether a team uses all of its quota."""
+    limits = configuration.team_limits(tables.configuration.document, team)
+    usage = tables.team_usage.get(team, resource.NOTHING)
+    if limits.quota == resource.PARTS_PER_MILLION:
+        return False
+    return resource.dominant_share(usage, tables.fleet.total) >= limits.quota
+
+
+def _place(tables: state.State, name: identity.TaskId) -> bool:
+    task = tables.tasks[name]
+    specification = tables.specification(task)
+    if specification.kind is job.Kind.GANG and not task.attempts:
+        return gang.place(tables, task)
+    cell = choose(tables, task, specification)
+    if cell is None:
+        return False
+    lifecycle.place(tables, task, cell)
+    return True
+
+
+def choose(
+    tables: state.State, task: job.Task, specification: job.Specification
+) -> fleet.Cell | None:
+    """Return the target for one task, or None when it fits on none."""
+    needs = specification.tasks[task.number]
+    demand = needs.demand()
+    if tables.fleet.is_blocked(demand):
+        return gang.backfill(tables, needs)
+    policy = placement.POLICIES[specification.kind]
+    siblings: tuple[fleet.Cell, ...] = ()
+    if specification.kind is job.Kind.SERVICE:
+        siblings = _siblings(tables, task)
+    request = placement.Request(demand, _failed_last(task), siblings)
+    cell = policy.choose(tables.fleet, request)
+    if cell is None:
+        tables.fleet.block(demand)
+        return gang.backfill(tables, needs)
+    return cell
+
+
+def _failed_last(task: job.Task) -> identity.TargetId | None:
+    if task.history and task.history[-1].reason is job.EndReason.FAILED:
+        return task.history[-1].target
+    return None
+
+
+def _siblings(tables: state.State, task: job.Task) -> tuple[fleet.Cell, ...]:
+    record = tables.jobs[task.job]
+    return tuple(
+        tables.fleet.cells[tables.attempts[sibling.attempt].target]
+        for sibling in lifecycle.tasks_of(tables, record)
+        if sibling.attempt is not None
+    )
--- /dev/null
+++ b/mulberrywalk/core/event.py
@@ -0,0 +1,123 @@
+"""Events of the replicated log: everything that changes the state."""
+
+from __future__ import annotations
+
+from typing import Any, TypeAlias
+
+import msgspec
+
+from . import identity, job, resource
+
+
+class JobSubmitted(msgspec.Struct, frozen=True, tag=True):
+    """A caller submits a job; digest identifies the body of the request."""
+
+    at: int
+    specification: job.Specification
+    digest: str
+
+
+class JobCancelled(msgspec.Struct, frozen=True, tag=True):
+    """A caller cancels a job."""
+
+    at: int
+    job: identity.JobId
+
+
+class Announcement(msgspec.Struct, frozen=True):
+    """What a target says of itself when it opens a session.
+
+    nonce makes a repeated announcement return the same session. ended names
+    the target's previous session, of which it certifies that nothing runs.
+    """
+
+    target: identity.TargetId
+    data_centre: identity.DataCentre
+    rack: identity.Rack
+    capacity: resource.Resources
+    nonce: str
+    ended: identity.SessionId | None = None
+
+
+class SessionOpened(msgspec.Struct, frozen=True, tag=True):
+    """A target opens a session."""
+
+    at: int
+    announcement: Announcement
+
+
+class SessionExpired(msgspec.Struct, frozen=True, tag=True):
+    """The lease of a session has run out, its target has stopped all."""
+
+    at: int
+    session: identity.SessionId
+
+
+class DepartureAnnounced(msgspec.Struct, frozen=True, tag=True):
+    """A target is leaving and takes no new work."""
+
+    at: int
+    session: identity.SessionId
+
+
+class AttemptStart(msgspec.Struct, frozen=True):
+    """A target has started an attempt, at its own wall clock in ms."""
+
+    attempt: identity.AttemptId
+    at: int
+
+
+class AttemptEnd(msgspec.Struct, frozen=True):
+    """An attempt has ended on a target, or will never start there."""
+
+    attempt: identity.AttemptId
+    reason: job.EndReason
+    at: int
+    answer: str = ''
+    detail: str = ''
+    checkpoint: str = ''
+
+
+class AttemptUsage(msgspec.Struct, frozen=True):
+    """What an attempt was last seen to use."""
+
+    attempt: identity.AttemptId
+    millicores: int
+    memory_bytes: int
+
+
+class ReportReceived(msgspec.Struct, frozen=True, tag=True):
+    """A target reports starts, ends and usage of its session."""
+
+    at: int
+    session: identity.SessionId
+    started: tuple[AttemptStart, ...] = ()
+    ended: tuple[AttemptEnd, ...] = ()
+    usage: tuple[AttemptUsage, ...] = ()
+
+
+class ConfigurationPatched(msgspec.Struct, frozen=True, tag=True):
+    """An operator submits a JSON merge patch against a version."""
+
+    at: int
+    request_id: str
+    version: int
+    changes: dict[str, Any]
+
+
+class TimePassed(msgspec.Struct, frozen=True, tag=True):
+    """The leader's clock; ends each batch and lets waiting work be placed."""
+
+    at: int
+
+
+Event: TypeAlias = (
+    JobSubmitted
+    | JobCancelled
+    | SessionOpened
+    | SessionExpired
+    | DepartureAnnounced
+    | ReportReceived
+    | ConfigurationPatched
+    | TimePassed
+)
--- /dev/null
+++ b/mulberrywalk/core/fleet.py
@@ -0,0 +1,173 @@
+"""Index of the targets by what is free on them.
+
+Derived from the records of the state and never stored. All orders are
+functions of amounts and names, so that replicas that restored a snapshot
+choose as those that applied every event.
+"""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+from collections.abc import Iterator
+
+from sortedcontainers import SortedList
+
+from . import identity, resource
+
+_BLOCKED_LIMIT = 256
+
+
+@dataclasses.dataclass(slots=True)
+class Cell:
+    """One target as placement sees it.
+
+    is_open tells that the target takes new work; is_probed that it may run
+    one attempt only, as a trial after quarantine. reserved_for names the
+    gang that waits for this target to become free.
+    """
+
+    target: identity.TargetId
+    data_centre: identity.DataCentre
+    rack: identity.Rack
+    capacity: resource.Resources
+    free: resource.Resources
+    attempts: set[identity.AttemptId] = dataclasses.field(default_factory=set)
+    is_open: bool = False
+    is_probed: bool = False
+    reserved_for: identity.JobId | None = None
+    is_indexed: bool = False
+
+
+class Fleet:
+    """All targets, ordered by free processor, with totals."""
+
+    def __init__(self) -> None:
+        """Start without targets."""
+        self.cells: dict[identity.TargetId, Cell] = {}
+        self.total = resource.NOTHING
+        self.capacities: collections.Counter[resource.Resources] = (
+            collections.Counter()
+        )
+        self._ordered: SortedList = SortedList()
+        self._centres: dict[identity.DataCentre, SortedList] = {}
+        self._blocked: set[resource.Resources] = set()
+
+    def add(self, cell: Cell) -> None:
+        """Add a target; its capacity counts from now on."""
+        self.cells[cell.target] = cell
+        self.total = resource.add(self.total, cell.capacity)
+        self.capacities[cell.capacity] += 1
+        self._index(cell)
+
+    def remove(self, target: identity.TargetId) -> None:
+        """Forget a target and its capacity."""
+        cell = self.cells.pop(target)
+        self._drop(cell)
+        self.total = resource.subtract(self.total, cell.capacity)
+        self.capacities[cell.capacity] -= 1
+        if not self.capacities[cell.capacity]:
+            self.capacities.pop(cell.capacity)
+
+    def change(
+        self,
+        cell: Cell,
+        *,
+        free: resource.Resources | None = None,
+        is_open: bool | None = None,
+        is_probed: bool | None = None,
+    ) -> None:
+        """Change what is free on a target or whether it takes work."""
+        self._drop(cell)
+        if free is not None:
+            cell.free = free
+        if is_open is not None:
+            cell.is_open = is_open
+        if is_probed is not None:
+            cell.is_probed = is_probed
+        self._index(cell)
+
+    def reserve(self, cell: Cell, job: identity.JobId | None) -> None:
+        """Set a target aside for a gang, or give it back."""
+        self._drop(cell)
+        cell.reserved_for = job
+        self._index(cell)
+
+    def fitting(self, demand: resource.Resources) -> Iterator[Cell]:
+        """Yield the open targets a demand fits on, least free first."""
+        lowest = (demand.millicores, '')
+        for _, target in self._ordered.irange(minimum=lowest):
+            cell = self.cells[target]
+            if resource.fits(demand, cell.free):
+                yield cell
+
+    def roomiest(self, demand: resource.Resources) -> Iterator[Cell]:
+        """Yield the open targets a demand fits on, most free first."""
+        yield from self._descend(self._ordered, demand)
+
+    def roomiest_in(
+        self, data_centre: identity.DataCentre, demand: resource.Resources
+    ) -> Iterator[Cell]:
+        """Yield the fitting targets of a data centre, most free first."""
+        ordered = self._centres.get(data_centre)
+        if ordered:
+            yield from self._descend(ordered, demand)
+
+    def data_centres(self) -> list[identity.DataCentre]:
+        """Return the data centres that have had an open target."""
+        return sorted(self._centres)
+
+    def is_blocked(self, demand: resource.Resources) -> bool:
+        """Return whether the demand is known to fit on no open target."""
+        return demand in self._blocked
+
+    def block(self, demand: resource.Resources) -> None:
+        """Remember that a demand fits nowhere until a target frees some."""
+        if len(self._blocked) >= _BLOCKED_LIMIT:
+            self._blocked.clear()
+        self._blocked.add(demand)
+
+    def could_fit(self, demand: resource.Resources) -> bool:
+        """Return whether a demand fits on some target that is empty.
+
+        True while there are no targets at all, for they may yet come.
+        """
+        if not self.capacities:
+            return True
+        return any(
+            resource.fits(demand, capacity) for capacity in self.capacities
+        )
+
+    def _descend(
+        self, ordered: SortedList, demand: resource.Resources
+    ) -> Iterator[Cell]:
+        lowest = (demand.millicores, '')
+        for _, target in ordered.irange(minimum=lowest, reverse=True):
+            cell = self.cells[target]
+            if resource.fits(demand, cell.free):
+                yield cell
+
+    def _index(self, cell: Cell) -> None:
+        if not cell.is_open or cell.reserved_for is not None:
+            return
+        if cell.free.slots <= 0 or (cell.is_probed and cell.attempts):
+            return
+        key = (cell.free.millicores, cell.target)
+        self._ordered.add(key)
+        centre = self._centres.setdefault(cell.data_centre, SortedList())
+        centre.add(key)
+        cell.is_indexed = True
+        if self._blocked:
+            self._blocked = {
+                demand
+                for demand in self._blocked
+                if not resource.fits(demand, cell.free)
+            }
+
+    def _drop(self, cell: Cell) -> None:
+        if not cell.is_indexed:
+            return
+        key = (cell.free.millicores, cell.target)
+        self._ordered.remove(key)
+        self._centres[cell.data_centre].remove(key)
+        cell.is_indexed = False
--- /dev/null
+++ b/mulberrywalk/core/gang.py
@@ -0,0 +1,217 @@
+"""Jobs whose tasks all start together, and the targets kept for them."""
+
+from __future__ import annotations
+
+import dataclasses
+import itertools
+
+from . import (
+    effect,
+    fleet,
+    identity,
+    job,
+    lifecycle,
+    placement,
+    resource,
+    state,
+)
+
+_REVIEW_MS = 5000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Outlook:
+    """What a target will have free, and when its batch work should end."""
+
+    free_at: int
+    cell: fleet.Cell
+    free: resource.Resources
+
+
+def place(tables: state.State, first: job.Task) -> bool:
+    """Place all tasks of a gang or none; the first stands for all.
+
+    A gang that has waited long gets targets kept for it, of which batch work
+    runs out; only one gang has that at a time.
+    """
+    waiting = [
+        task
+        for task in lifecycle.tasks_of(tables, tables.jobs[first.job])
+        if task.state is job.TaskState.WAITING
+    ]
+    _lend(tables, first.job)
+    chosen = _allocate(tables, waiting)
+    if chosen is None:
+        _reserve_when_overdue(tables, first)
+        return False
+    for task, cell in zip(waiting, chosen, strict=True):
+        lifecycle.place(tables, task, cell)
+    if tables.reservation and tables.reservation.job == first.job:
+        _cancel_reservation(tables)
+    return True
+
+
+def backfill(
+    tables: state.State, needs: job.TaskSpecification
+) -> fleet.Cell | None:
+    """Return a kept target on which a task ends before the gang starts."""
+    reservation = tables.reservation
+    if reservation is None:
+        return None
+    if tables.time + needs.estimate_ms > reservation.starts_at:
+        return None
+    demand = needs.demand()
+    cells = (tables.fleet.cells[name] for name in reservation.targets)
+    return next(
+        (
+            cell
+            for cell in cells
+            if cell.is_open
+            and not cell.is_probed
+            and resource.fits(demand, cell.free)
+        ),
+        None,
+    )
+
+
+def review(tables: state.State) -> None:
+    """Drop a reservation whose gang is gone or whose targets have changed."""
+    reservation = tables.reservation
+    if reservation is None:
+        return
+    record = tables.jobs.get(reservation.job)
+    is_waiting = record is not None and record.state is job.JobState.QUEUED
+    is_whole = all(
+        name in tables.fleet.cells and tables.fleet.cells[name].is_open
+        for name in reservation.targets
+    )
+    is_late = tables.time > reservation.starts_at + _REVIEW_MS
+    if not (is_waiting and is_whole) or is_late:
+        _cancel_reservation(tables)
+
+
+def _allocate(
+    tables: state.State, tasks: list[job.Task]
+) -> list[fleet.Cell] | None:
+    """Try the tasks one after the other and undo all; None if one fails."""
+    policy = placement.POLICIES[job.Kind.GANG]
+    chosen: list[fleet.Cell] = []
+    taken: list[resource.Resources] = []
+    for task in tasks:
+        demand = tables.task_specification(task).demand()
+        cell = policy.choose(tables.fleet, placement.Request(demand))
+        if cell is None:
+            break
+        chosen.append(cell)
+        taken.append(demand)
+        tables.fleet.change(cell, free=resource.subtract(cell.free, demand))
+    for cell, demand in zip(chosen, taken, strict=True):
+        tables.fleet.change(cell, free=resource.add(cell.free, demand))
+    if len(chosen) < len(tasks) or _doubles_probe(chosen):
+        return None
+    return chosen
+
+
+def _doubles_probe(chosen: list[fleet.Cell]) -> bool:
+    probed = [cell.target for cell in chosen if cell.is_probed]
+    return len(probed) > len(set(probed))
+
+
+def _lend(tables: state.State, gang: identity.JobId) -> None:
+    # The targets kept for this gang are open to it while it is tried.
+    reservation = tables.reservation
+    if reservation is None or reservation.job != gang:
+        return
+    for name in reservation.targets:
+        tables.fleet.reserve(tables.fleet.cells[name], None)
+
+
+def _keep(tables: state.State, reservation: state.Reservation) -> None:
+    for name in reservation.targets:
+        tables.fleet.reserve(tables.fleet.cells[name], reservation.job)
+
+
+def _cancel_reservation(tables: state.State) -> None:
+    reservation = tables.reservation
+    if reservation is None:
+        return
+    tables.reservation = None
+    for name in reservation.targets:
+        cell = tables.fleet.cells.get(name)
+        if cell is not None:
+            tables.fleet.reserve(cell, None)
+
+
+def _reserve_when_overdue(tables: state.State, first: job.Task) -> None:
+    if tables.reservation is not None:
+        if tables.reservation.job == first.job:
+            _keep(tables, tables.reservation)
+        return
+    patience = tables.configuration.document.gang_reservation_ms
+    if tables.time < first.waiting_since + patience:
+        return
+    outlooks = _choose_outlooks(tables, first)
+    if not outlooks:
+        return
+    tables.reservation = state.Reservation(
+        job=first.job,
+        targets=tuple(outlook.cell.target for outlook in outlooks),
+        starts_at=max(outlook.free_at for outlook in outlooks),
+        made_at=tables.time,
+    )
+    _keep(tables, tables.reservation)
+    tables.emit(
+        effect.Trace(
+            'reserved', job=first.job, detail=f'{len(outlooks)} targets'
+        )
+    )
+
+
+def _choose_outlooks(tables: state.State, first: job.Task) -> list[Outlook]:
+    """Return the soonest free targets that hold the whole gang, or none."""
+    specification = tables.specification(first)
+    outlooks = sorted(
+        (
+            _foresee(tables, cell)
+            for cell in tables.fleet.cells.values()
+            if cell.is_open and not cell.is_probed
+        ),
+        key=lambda outlook: (outlook.free_at, outlook.cell.target),
+    )
+    demands = [needs.demand() for needs in specification.tasks]
+    chosen: list[Outlook] = []
+    for outlook in outlooks:
+        count = _count_fitting(demands, outlook.free)
+        if count:
+            chosen.append(outlook)
+            demands = demands[count:]
+        if not demands:
+            return chosen
+    return []
+
+
+def _count_fitting(
+    demands: list[resource.Resources], free: resource.Resources
+) -> int:
+    sums = itertools.accumulate(demands, resource.add)
+    return sum(
+        1
+        for _ in itertools.takewhile(
+            lambda held: resource.fits(held, free), sums
+        )
+    )
+
+
+def _foresee(tables: state.State, cell: fleet.Cell) -> Outlook:
+    free = cell.capacity
+    free_at = tables.time
+    for name in cell.attempts:
+        attempt = tables.attempts[name]
+        task = tables.tasks[attempt.task]
+        if tables.specification(task).kind is job.Kind.SERVICE:
+            free = resource.subtract(free, attempt.held)
+            continue
+        estimate = tables.task_specification(task).estimate_ms
+        ends_at = (attempt.started_at or attempt.placed_at) + estimate
+        free_at = max(free_at, ends_at)
+    return Outlook(free_at, cell, free)
--- /dev/null
+++ b/mulberrywalk/core/lifecycle.py
@@ -0,0 +1,315 @@
+"""Transitions of tasks and attempts."""
+
+from __future__ import annotations
+
+import msgspec
+
+from . import (
+    effect,
+    event,
+    fleet,
+    health,
+    identity,
+    job,
+    retry,
+    state,
+    waiting,
+)
+
+_FAILED_TARGETS_KEPT = 3
+_HISTORY_KEPT = 20
+
+_FINAL_STATES = {
+    job.TaskState.COMPLETED: job.JobState.COMPLETED,
+    job.TaskState.FAILED: job.JobState.FAILED,
+    job.TaskState.CANCELLED: job.JobState.CANCELLED,
+    job.TaskState.UNKNOWN: job.JobState.UNKNOWN,
+}
+# The state of a job is the worst of its tasks'.
+_WORST_FIRST = (
+    job.TaskState.UNKNOWN,
+    job.TaskState.FAILED,
+    job.TaskState.CANCELLED,
+    job.TaskState.COMPLETED,
+)
+
+
+def wait(tables: state.State, task: job.Task) -> None:
+    """Put a task into its queue, or aside, or among the delayed."""
+    tables.tasks[task.task] = task
+    tables.waiting.count(key_of(tables, task), 1)
+    if task.not_before > tables.time:
+        tables.waiting.delayed.add((task.not_before, task.task))
+        return
+    enqueue(tables, task)
+
+
+def enqueue(tables: state.State, task: job.Task) -> None:
+    """Put a waiting task that is due into its queue or aside.
+
+    Of a gang that was not placed yet, the first task stands for all.
+    """
+    kind = tables.specification(task).kind
+    if kind is job.Kind.GANG and task.number and not task.attempts:
+        return
+    demand = tables.task_specification(task).demand()
+    if tables.fleet.could_fit(demand):
+        tables.waiting.add(key_of(tables, task), position_of(task))
+    else:
+        tables.waiting.aside[task.task] = demand
+
+
+def stop_waiting(tables: state.State, task: job.Task) -> None:
+    """Take a task out of the queue, the delayed and those set aside."""
+    key = key_of(tables, task)
+    tables.waiting.count(key, -1)
+    tables.waiting.discard(key, position_of(task))
+    tables.waiting.delayed.discard((task.not_before, task.task))
+    tables.waiting.aside.pop(task.task, None)
+
+
+def place(tables: state.State, task: job.Task, cell: fleet.Cell) -> None:
+    """Give a waiting task a new attempt on a target."""
+    session = tables.targets[cell.target].session
+    if session is None:
+        raise AssertionError(f'{cell.target} is open without a session')
+    stop_waiting(tables, task)
+    number = task.attempts + 1
+    attempt = job.Attempt(
+        attempt=identity.AttemptId(f'{task.task}/{number}'),
+        task=task.task,
+        session=session,
+        target=cell.target,
+        held=tables.task_specification(task).demand(),
+        placed_at=tables.time,
+    )
+    tables.tasks[task.task] = msgspec.structs.replace(
+        task,
+        state=job.TaskState.PLACED,
+        attempts=number,
+        attempt=attempt.attempt,
+    )
+    state.add_attempt(tables, attempt)
+    tables.emit(effect.StartAttempt(attempt))
+    trace(tables, 'placed', attempt)
+
+
+def start(tables: state.State, started: event.AttemptStart) -> None:
+    """Record that a target has confirmed a start."""
+    attempt = tables.attempts.get(started.attempt)
+    if attempt is None or attempt.started_at:
+        return
+    task = tables.tasks[attempt.task]
+    state.replace_attempt(
+        tables, msgspec.structs.replace(attempt, started_at=tables.time)
+    )
+    tables.tasks[task.task] = msgspec.structs.replace(
+        task,
+        state=job.TaskState.RUNNING,
+        first_started_at=task.first_started_at or tables.time,
+    )
+    _set_job_running(tables, task.job)
+    trace(tables, 'started', attempt)
+
+
+def stop(
+    tables: state.State, attempt: job.Attempt, reason: job.StopReason
+) -> None:
+    """Ask the target to stop an attempt; it holds capacity until it has."""
+    if attempt.stopping is not None:
+        return
+    stopped = msgspec.structs.replace(attempt, stopping=reason)
+    state.replace_attempt(tables, stopped)
+    tables.emit(effect.StopAttempt(stopped))
+    trace(tables, 'stopping', stopped, reason.value)
+
+
+def end(tables: state.State, ended: event.AttemptEnd) -> None:
+    """Record the known end of an attempt and decide what follows."""
+    attempt = tables.attempts.get(ended.attempt)
+    if attempt is None:
+        return
+    state.remove_attempt(tables, attempt)
+    task = _close_attempt(tables, attempt, ended)
+    trace(tables, 'ended', attempt, ended.reason.value)
+    _credit(tables, attempt, task, ended.reason)
+    specification = tables.specification(task)
+    is_service = specification.kind is job.Kind.SERVICE
+    if ended.reason is job.EndReason.COMPLETED and not is_service:
+        finish(tables, task, job.TaskState.COMPLETED)
+    elif tables.jobs[task.job].is_cancelled:
+        finish(tables, task, job.TaskState.CANCELLED)
+    elif _may_run_again(specification, ended.reason):
+        _try_again(tables, task, ended.reason)
+    else:
+        finish(tables, task, _final_state(ended.reason))
+
+
+def finish(tables: state.State, task: job.Task, final: job.TaskState) -> None:
+    """Give a task its final state, and its job when it was the last."""
+    tables.tasks[task.task] = msgspec.structs.replace(
+        task, state=final, ended_at=tables.time, attempt=None
+    )
+    record = tables.jobs[task.job]
+    unfinished = record.unfinished - 1
+    record = msgspec.structs.replace(record, unfinished=unfinished)
+    tables.jobs[task.job] = record
+    if unfinished == 0:
+        _finish_job(tables, record)
+
+
+def tasks_of(tables: state.State, record: job.Job) -> list[job.Task]:
+    """Return the tasks of a job in order."""
+    count = len(record.specification.tasks)
+    return [
+        tables.tasks[job.task_id(record.job, number)] for number in range(count)
+    ]
+
+
+def key_of(tables: state.State, task: job.Task) -> waiting.QueueKey:
+    """Return the queue that a task waits in."""
+    specification = tables.specification(task)
+    return waiting.queue_key(specification.urgency, specification.team)
+
+
+def position_of(task: job.Task) -> waiting.Position:
+    """Return the place of a task in its queue."""
+    return waiting.Position(
+        task.submitted_at,
+        waiting.sequence_number(task.job),
+        task.number,
+        task.task,
+    )
+
+
+def trace(
+    tables: state.State, what: str, attempt: job.Attempt, detail: str = ''
+) -> None:
+    """Add a line about an attempt to the time line."""
+    tables.emit(
+        effect.Trace(
+            what,
+            job=tables.tasks[attempt.task].job,
+            task=attempt.task,
+            attempt=attempt.attempt,
+            target=attempt.target,
+            detail=detail,
+        )
+    )
+
+
+def _close_attempt(
+    tables: state.State, attempt: job.Attempt, ended: event.AttemptEnd
+) -> job.Task:
+    task = tables.tasks[attempt.task]
+    record = job.AttemptRecord(
+        attempt=attempt.attempt,
+        target=attempt.target,
+        placed_at=attempt.placed_at,
+        started_at=attempt.started_at,
+        ended_at=tables.time,
+        reason=ended.reason,
+        detail=ended.detail
+        or (attempt.stopping.value if attempt.stopping else ''),
+    )
+    # An end that is reported without its start proves the start too.
+    started_at = task.first_started_at
+    if ended.reason in {job.EndReason.COMPLETED, job.EndReason.FAILED}:
+        started_at = started_at or tables.time
+    return msgspec.structs.replace(
+        task,
+        attempt=None,
+        answer=ended.answer,
+        checkpoint=ended.checkpoint or task.checkpoint,
+        first_started_at=started_at,
+        history=(*task.history, record)[-_HISTORY_KEPT:],
+    )
+
+
+def _credit(
+    tables: state.State,
+    attempt: job.Attempt,
+    task: job.Task,
+    reason: job.EndReason,
+) -> None:
+    record = tables.jobs[task.job]
+    if reason is job.EndReason.COMPLETED:
+        retry.credit(tables, record.specification.team)
+        health.record_success(tables, attempt.target)
+        tables.jobs[task.job] = msgspec.structs.replace(
+            record, completions=record.completions + 1
+        )
+    elif reason is job.EndReason.FAILED:
+        _blame(tables, attempt, record)
+
+
+def _blame(tables: state.State, attempt: job.Attempt, record: job.Job) -> None:
+    failed_on = record.failed_on
+    if attempt.target not in failed_on:
+        failed_on = (*failed_on, attempt.target)[:_FAILED_TARGETS_KEPT]
+        record = msgspec.structs.replace(record, failed_on=failed_on)
+        tables.jobs[record.job] = record
+    # A job that fails wherever it runs says nothing about its targets.
+    is_job_at_fault = (
+        record.completions == 0 and len(failed_on) >= _FAILED_TARGETS_KEPT
+    )
+    if not is_job_at_fault:
+        health.record_failure(tables, attempt.target)
+
+
+def _may_run_again(
+    specification: job.Specification, reason: job.EndReason
+) -> bool:
+    if reason is job.EndReason.NEVER_STARTED:
+        return True
+    return specification.is_idempotent
+
+
+def _try_again(
+    tables: state.State, task: job.Task, reason: job.EndReason
+) -> None:
+    not_before = 0
+    if reason in {job.EndReason.FAILED, job.EndReason.COMPLETED}:
+        task = msgspec.structs.replace(task, failures=task.failures + 1)
+        not_before = tables.time + retry.delay(
+            tables, tables.specification(task).team, task.failures
+        )
+    elif reason is job.EndReason.SESSION_LOST:
+        task = msgspec.structs.replace(task, losses=task.losses + 1)
+    if retry.is_exhausted(tables, task):
+        finish(tables, task, job.TaskState.FAILED)
+        return
+    wait(
+        tables,
+        msgspec.structs.replace(
+            task,
+            state=job.TaskState.WAITING,
+            waiting_since=tables.time,
+            not_before=not_before,
+        ),
+    )
+
+
+def _final_state(reason: job.EndReason) -> job.TaskState:
+    if reason is job.EndReason.FAILED:
+        return job.TaskState.FAILED
+    return job.TaskState.UNKNOWN
+
+
+def _set_job_running(tables: state.State, identifier: identity.JobId) -> None:
+    record = tables.jobs[identifier]
+    if record.state is job.JobState.QUEUED:
+        tables.jobs[identifier] = msgspec.structs.replace(
+            record, state=job.JobState.RUNNING
+        )
+
+
+def _finish_job(tables: state.State, record: job.Job) -> None:
+    states = {task.state for task in tasks_of(tables, record)}
+    worst = next(one for one in _WORST_FIRST if one in states)
+    tables.jobs[record.job] = msgspec.structs.replace(
+        record, state=_FINAL_STATES[worst], ended_at=tables.time
+    )
+    tables.finished.add((tables.time, record.job))
+    tables.emit(effect.ReportJobEnd(record.job))
+    tables.emit(effect.Trace('job ended', job=record.job, detail=worst.value))
--- /dev/null
+++ b/mulberrywalk/core/placement.py
@@ -0,0 +1,161 @@
+"""Choice of a target for a task, by the kind of its job.
+
+Each policy returns the chosen target or None; None always means that the
+demand fits on no open target. Nothing is placed where it does not fit.
+"""
+
+from __future__ import annotations
+
+import abc
+import collections
+import dataclasses
+import itertools
+from collections.abc import Iterable
+from types import MappingProxyType
+from typing import TypeVar
+
+from . import fleet, identity, job, resource
+
+_CANDIDATES = 8
+
+Chosen = TypeVar('Chosen')
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Request:
+    """What is to be placed.
+
+    avoid is the target on which the task failed last; siblings are the
+    targets that hold other tasks of the job.
+    """
+
+    demand: resource.Resources
+    avoid: identity.TargetId | None = None
+    siblings: tuple[fleet.Cell, ...] = ()
+
+
+class Policy(abc.ABC):
+    """Chooses among the open targets."""
+
+    def choose(self, cells: fleet.Fleet, request: Request) -> fleet.Cell | None:
+        """Return the target for a request, or None when it fits nowhere.
+
+        The avoided target is taken only when no other candidate fits.
+        """
+        candidates = list(
+            itertools.islice(self.candidates(cells, request), _CANDIDATES)
+        )
+        others = [one for one in candidates if one.target != request.avoid]
+        return self.prefer(others or candidates, request)
+
+    @abc.abstractmethod
+    def candidates(
+        self, cells: fleet.Fleet, request: Request
+    ) -> Iterable[fleet.Cell]:
+        """Yield fitting targets, the better ones first."""
+
+    @abc.abstractmethod
+    def prefer(
+        self, candidates: list[fleet.Cell], request: Request
+    ) -> fleet.Cell | None:
+        """Return the best of a few fitting targets."""
+
+
+class BatchPolicy(Policy):
+    """Packs: the target that is left with the least unused capacity."""
+
+    def candidates(
+        self, cells: fleet.Fleet, request: Request
+    ) -> Iterable[fleet.Cell]:
+        """Yield the fitting targets with the least free processor."""
+        return cells.fitting(request.demand)
+
+    def prefer(
+        self, candidates: list[fleet.Cell], request: Request
+    ) -> fleet.Cell | None:
+        """Return the target whose largest remaining share is smallest."""
+        return min(
+            candidates,
+            key=lambda cell: (
+                resource.dominant_share(
+                    resource.subtract(cell.free, request.demand),
+                    cell.capacity,
+                ),
+                cell.target,
+            ),
+            default=None,
+        )
+
+
+class RequestPolicy(Policy):
+    """Spreads: the target with the most free processor answers soonest."""
+
+    def candidates(
+        self, cells: fleet.Fleet, request: Request
+    ) -> Iterable[fleet.Cell]:
+        """Yield the fitting targets with the most free processor."""
+        return cells.roomiest(request.demand)
+
+    def prefer(
+        self, candidates: list[fleet.Cell], request: Request
+    ) -> fleet.Cell | None:
+        """Return the first, which has the most free processor."""
+        return candidates[0] if candidates else None
+
+
+class ServicePolicy(Policy):
+    """Spreads the tasks of a job over data centres and racks."""
+
+    def candidates(
+        self, cells: fleet.Fleet, request: Request
+    ) -> Iterable[fleet.Cell]:
+        """Yield targets of the data centres with the fewest siblings."""
+        crowding = collections.Counter(
+            cell.data_centre for cell in request.siblings
+        )
+        centres = sorted(
+            cells.data_centres(),
+            key=lambda centre: (crowding[centre], centre),
+        )
+        return itertools.chain.from_iterable(
+            cells.roomiest_in(centre, request.demand) for centre in centres
+        )
+
+    def prefer(
+        self, candidates: list[fleet.Cell], request: Request
+    ) -> fleet.Cell | None:
+        """Return the target whose centre, rack and self hold fewest."""
+        centres = _count(cell.data_centre for cell in request.siblings)
+        racks = _count(
+            (cell.data_centre, cell.rack) for cell in request.siblings
+        )
+        targets = _count(cell.target for cell in request.siblings)
+        return min(
+            candidates,
+            key=lambda cell: (
+                centres[cell.data_centre],
+                racks[(cell.data_centre, cell.rack)],
+                targets[cell.target],
+                -cell.free.millicores,
+                cell.target,
+            ),
+            default=None,
+        )
+
+
+class GangPolicy(BatchPolicy):
+    """Packs each task of a gang; all of them are placed or none."""
+
+
+def _count(counted: Iterable[Chosen]) -> collections.Counter[Chosen]:
+    return collections.Counter(counted)
+
+
+POLICIES: MappingProxyType[job.Kind, Policy] = MappingProxyType(
+    {
+        job.Kind.SERVICE: ServicePolicy(),
+        job.Kind.BATCH: BatchPolicy(),
+        job.Kind.GANG: GangPolicy(),
+        job.Kind.REQUEST: RequestPolicy(),
+    }
+)
--- /dev/null
+++ b/mulberrywalk/core/preemption.py
@@ -0,0 +1,90 @@
+"""Capacity that was lent is taken back for an urgency below its floor."""
+
+from __future__ import annotations
+
+import itertools
+
+from . import (
+    fleet,
+    identity,
+    job,
+    lifecycle,
+    resource,
+    state,
+    waiting,
+)
+
+_PATIENCE_MS = 500
+_MAX_IN_FLIGHT = 16
+_SCANNED = 64
+_URGENCIES = tuple(job.Urgency)
+
+
+def make_room(
+    tables: state.State, key: waiting.QueueKey, task: job.Task
+) -> None:
+    """Stop one attempt for a task that has waited below its floor.
+
+    Victims are idempotent attempts of urgencies above their floor, the least
+    urgent and latest placed first. Few are stopped at a time, because each
+    needs a while to end.
+    """
+    urgency = _URGENCIES[key.rank]
+    if is_above_floor(tables, urgency):
+        return
+    if tables.time < task.waiting_since + _PATIENCE_MS:
+        return
+    if tables.preempting >= _MAX_IN_FLIGHT:
+        return
+    demand = tables.task_specification(task).demand()
+    victim = choose_victim(tables, urgency, demand)
+    if victim is not None:
+        lifecycle.stop(tables, victim, job.StopReason.PREEMPTED)
+
+
+def is_above_floor(tables: state.State, urgency: job.Urgency) -> bool:
+    """Return whether an urgency uses its guaranteed part or more."""
+    share = resource.dominant_share(
+        tables.urgency_usage[urgency], tables.fleet.total
+    )
+    return share >= tables.configuration.document.classes[urgency].floor
+
+
+def choose_victim(
+    tables: state.State,
+    urgency: job.Urgency,
+    demand: resource.Resources,
+) -> job.Attempt | None:
+    """Return the attempt to stop, or None when there is none to take."""
+    for other in reversed(_URGENCIES):
+        if other is urgency or not is_above_floor(tables, other):
+            continue
+        latest = itertools.islice(reversed(tables.by_urgency[other]), _SCANNED)
+        victim = next(
+            (
+                tables.attempts[name]
+                for _, name in latest
+                if _is_eligible(tables, name, demand)
+            ),
+            None,
+        )
+        if victim is not None:
+            return victim
+    return None
+
+
+def _is_eligible(
+    tables: state.State,
+    name: identity.AttemptId,
+    demand: resource.Resources,
+) -> bool:
+    attempt = tables.attempts[name]
+    if attempt.stopping is not None:
+        return False
+    specification = tables.specification(tables.tasks[attempt.task])
+    if not specification.is_idempotent:
+        return False
+    cell: fleet.Cell = tables.fleet.cells[attempt.target]
+    if not cell.is_open:
+        return False
+    return resource.fits(demand, resource.add(cell.free, attempt.held))
--- /dev/null
+++ b/mulberrywalk/core/reducer.py
@@ -0,0 +1,92 @@
+"""The reducer: applies one event to the state and returns the effects.
+
+Pure and deterministic: no clock, no randomness, no input or output. Every
+replica applies the same events in the same order and holds the same state.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from types import MappingProxyType
+from typing import Any
+
+from . import (
+    admission,
+    dispatch,
+    effect,
+    event,
+    outcome,
+    session,
+    state,
+    usage,
+)
+
+
+def reduce(
+    tables: state.State, occurred: event.Event
+) -> tuple[state.State, list[effect.Effect]]:
+    """Apply an event; return the state and the effects, the answer first.
+
+    The state is the one passed in, changed in place. Time never runs back:
+    an event that is stamped earlier happens at the state's time.
+    """
+    tables.time = max(tables.time, occurred.at)
+    tables.effects = []
+    answer = _HANDLERS[type(occurred)](tables, occurred)
+    return tables, [effect.Answer(answer), *tables.effects]
+
+
+def _submit(
+    tables: state.State, occurred: event.JobSubmitted
+) -> outcome.Outcome:
+    return admission.submit(tables, occurred)
+
+
+def _open_session(
+    tables: state.State, occurred: event.SessionOpened
+) -> outcome.Outcome:
+    return session.open_session(tables, occurred.announcement)
+
+
+def _expire_session(
+    tables: state.State, occurred: event.SessionExpired
+) -> outcome.Outcome:
+    session.end_session(tables, occurred.session)
+    return outcome.Recorded()
+
+
+def _depart(
+    tables: state.State, occurred: event.DepartureAnnounced
+) -> outcome.Outcome:
+    return session.depart(tables, occurred.session)
+
+
+def _report(
+    tables: state.State, occurred: event.ReportReceived
+) -> outcome.Outcome:
+    recorded = session.report(tables, occurred)
+    usage.correct(tables, occurred)
+    return recorded
+
+
+def _pass_time(
+    tables: state.State, occurred: event.TimePassed
+) -> outcome.Outcome:
+    dispatch.run(tables)
+    return outcome.Recorded()
+
+
+_HANDLERS: MappingProxyType[Any, Callable[..., outcome.Outcome]] = (
+    MappingProxyType(
+        {
+            event.JobSubmitted: _submit,
+            event.JobCancelled: admission.cancel,
+            event.SessionOpened: _open_session,
+            event.SessionExpired: _expire_session,
+            event.DepartureAnnounced: _depart,
+            event.ReportReceived: _report,
+            event.ConfigurationPatched: admission.patch,
+            event.TimePassed: _pass_time,
+        }
+    )
+)
--- /dev/null
+++ b/mulberrywalk/core/resource.py
@@ -0,0 +1,95 @@
+"""Amounts of what a target offers and a task needs."""
+
+from __future__ import annotations
+
+import msgspec
+
+PARTS_PER_MILLION = 1_000_000
+
+
+class Resources(msgspec.Struct, frozen=True, order=True):
+    """Processor in thousandths, memory in bytes, accelerators, slots."""
+
+    millicores: int = 0
+    memory_bytes: int = 0
+    accelerators: int = 0
+    slots: int = 0
+
+
+NOTHING = Resources()
+
+
+def add(left: Resources, right: Resources) -> Resources:
+    """Return the sum of two amounts."""
+    return Resources(
+        left.millicores + right.millicores,
+        left.memory_bytes + right.memory_bytes,
+        left.accelerators + right.accelerators,
+        left.slots + right.slots,
+    )
+
+
+def subtract(left: Resources, right: Resources) -> Resources:
+    """Return the difference of two amounts; it may be negative."""
+    return Resources(
+        left.millicores - right.millicores,
+        left.memory_bytes - right.memory_bytes,
+        left.accelerators - right.accelerators,
+        left.slots - right.slots,
+    )
+
+
+def multiply(amount: Resources, times: int) -> Resources:
+    """Return a multiple of an amount."""
+    return Resources(
+        amount.millicores * times,
+        amount.memory_bytes * times,
+        amount.accelerators * times,
+        amount.slots * times,
+    )
+
+
+def fits(demand: Resources, free: Resources) -> bool:
+    """Return whether a demand is within what is free in every resource."""
+    return (
+        demand.slots <= free.slots
+        and demand.millicores <= free.millicores
+        and demand.memory_bytes <= free.memory_bytes
+        and demand.accelerators <= free.accelerators
+    )
+
+
+def lacking(demand: Resources, free: Resources) -> list[str]:
+    """Return the names of the resources of which too little is free."""
+    return [
+        name
+        for name in demand.__struct_fields__
+        if getattr(demand, name) > getattr(free, name)
+    ]
+
+
+def larger(left: Resources, right: Resources) -> Resources:
+    """Return the larger amount of each resource."""
+    return Resources(
+        max(left.millicores, right.millicores),
+        max(left.memory_bytes, right.memory_bytes),
+        max(left.accelerators, right.accelerators),
+        max(left.slots, right.slots),
+    )
+
+
+def dominant_share(used: Resources, capacity: Resources) -> int:
+    """Return the largest used part of any resource, in parts per million."""
+    pairs = zip(
+        msgspec.structs.astuple(used),
+        msgspec.structs.astuple(capacity),
+        strict=True,
+    )
+    return max(
+        (
+            part * PARTS_PER_MILLION // whole
+            for part, whole in pairs
+            if whole > 0
+        ),
+        default=0,
+    )
--- /dev/null
+++ b/mulberrywalk/core/retry.py
@@ -0,0 +1,49 @@
+"""Whether and when a task is tried again."""
+
+from __future__ import annotations
+
+from . import configuration, job, state
+
+TOKEN = 100
+_LONGEST_DOUBLING = 6
+
+
+def credit(tables: state.State, team: str) -> None:
+    """Credit a team's retry budget for an attempt that ended well."""
+    limits = configuration.team_limits(tables.configuration.document, team)
+    full = tables.configuration.document.retry_burst * TOKEN
+    tables.budgets[team] = min(
+        full, tables.budgets.get(team, full) + limits.retry_percent
+    )
+
+
+def delay(tables: state.State, team: str, failures: int) -> int:
+    """Take a retry from the team's budget and return its delay in ms.
+
+    The delay doubles with each failure. A team without budget is not
+    refused the retry, for accepted work is never dropped, but waits the
+    longest delay.
+    """
+    document = tables.configuration.document
+    full = document.retry_burst * TOKEN
+    left = tables.budgets.get(team, full)
+    doubling = min(failures - 1, _LONGEST_DOUBLING)
+    if left < TOKEN:
+        doubling = _LONGEST_DOUBLING
+    else:
+        tables.budgets[team] = left - TOKEN
+    return document.retry_first_ms << doubling
+
+
+def is_exhausted(tables: state.State, task: job.Task) -> bool:
+    """Return whether a task has failed or been lost too often to go on.
+
+    A service is restarted for as long as it is wanted.
+    """
+    if tables.specification(task).kind is job.Kind.SERVICE:
+        return False
+    document = tables.configuration.document
+    return (
+        task.failures >= document.max_failures
+        or task.losses >= document.max_losses
+    )
--- /dev/null
+++ b/mulberrywalk/core/session.py
@@ -0,0 +1,231 @@
+"""Sessions of targets: announcement, departure, end."""
+
+from __future__ import annotations
+
+import msgspec
+
+from . import (
+    effect,
+    event,
+    fleet,
+    health,
+    identity,
+    job,
+    lifecycle,
+    outcome,
+    resource,
+    state,
+    target,
+)
+
+
+def open_session(
+    tables: state.State, announcement: event.Announcement
+) -> outcome.Outcome:
+    """Open a session for a target; a repeated announcement gets the same.
+
+    An earlier session that the target certifies as ended ends here. Others
+    keep the capacity of their attempts until their lease has run out.
+    """
+    known = _find(tables, announcement)
+    if known is not None:
+        return outcome.SessionGranted(known)
+    if announcement.ended in tables.sessions:
+        end_session(tables, announcement.ended)
+    session = target.Session(
+        session=identity.SessionId(f's{tables.next_sequence()}'),
+        target=announcement.target,
+        nonce=announcement.nonce,
+        opened_at=tables.time,
+    )
+    tables.sessions[session.session] = session
+    _record_target(tables, announcement, session.session)
+    tables.emit(
+        effect.Trace(
+            'session opened',
+            target=announcement.target,
+            detail=session.session,
+        )
+    )
+    return outcome.SessionGranted(session.session)
+
+
+def end_session(
+    tables: state.State, identifier: identity.SessionId | None
+) -> None:
+    """End a session of which nothing runs any more."""
+    if identifier is None or identifier not in tables.sessions:
+        return
+    session = tables.sessions[identifier]
+    for attempt in sorted(tables.by_session.get(identifier, ())):
+        lifecycle.end(
+            tables,
+            event.AttemptEnd(attempt, job.EndReason.SESSION_LOST, tables.time),
+        )
+    tables.sessions.pop(identifier)
+    tables.by_session.pop(identifier, None)
+    tables.emit(effect.EndSession(identifier))
+    tables.emit(
+        effect.Trace('session ended', target=session.target, detail=identifier)
+    )
+    _close_target(tables, session)
+
+
+def depart(
+    tables: state.State, identifier: identity.SessionId
+) -> outcome.Outcome:
+    """Place nothing more on a target and recall unconfirmed starts."""
+    session = tables.sessions.get(identifier)
+    if session is None:
+        return _gone(identifier)
+    record = tables.targets[session.target]
+    if record.session == identifier and not record.is_leaving:
+        tables.targets[record.target] = msgspec.structs.replace(
+            record, is_leaving=True
+        )
+        health.refresh(tables, record.target)
+        tables.emit(effect.Trace('leaving', target=record.target))
+    for name in sorted(tables.by_session.get(identifier, ())):
+        attempt = tables.attempts[name]
+        if not attempt.started_at:
+            lifecycle.stop(tables, attempt, job.StopReason.RECALLED)
+    return outcome.Recorded()
+
+
+def report(
+    tables: state.State, received: event.ReportReceived
+) -> outcome.Outcome:
+    """Record starts and ends that a target reports for its session.
+
+    Ends of attempts that are not known are acknowledged too, so that the
+    target forgets them.
+    """
+    if received.session not in tables.sessions:
+        return _gone(received.session)
+    for started in received.started:
+        if _is_of_session(tables, started.attempt, received.session):
+            lifecycle.start(tables, started)
+    for ended in received.ended:
+        if _is_of_session(tables, ended.attempt, received.session):
+            lifecycle.end(tables, ended)
+    if received.ended:
+        tables.emit(
+            effect.AcknowledgeEnds(
+                received.session,
+                tuple(ended.attempt for ended in received.ended),
+            )
+        )
+    return outcome.Recorded()
+
+
+def _gone(identifier: identity.SessionId) -> outcome.NotRun:
+    return outcome.NotRun(
+        outcome.RefusalReason.SESSION_GONE,
+        f'session {identifier} has ended',
+    )
+
+
+def _is_of_session(
+    tables: state.State,
+    name: identity.AttemptId,
+    session: identity.SessionId,
+) -> bool:
+    attempt = tables.attempts.get(name)
+    return attempt is not None and attempt.session == session
+
+
+def _find(
+    tables: state.State, announcement: event.Announcement
+) -> identity.SessionId | None:
+    record = tables.targets.get(announcement.target)
+    if record is None or record.session is None:
+        return None
+    session = tables.sessions[record.session]
+    if session.nonce == announcement.nonce:
+        return session.session
+    return None
+
+
+def _record_target(
+    tables: state.State,
+    announcement: event.Announcement,
+    session: identity.SessionId,
+) -> None:
+    known = tables.targets.get(announcement.target)
+    record = target.Target(
+        target=announcement.target,
+        data_centre=announcement.data_centre,
+        rack=announcement.rack,
+        capacity=announcement.capacity,
+        session=session,
+        health=known.health if known else target.Health(),
+    )
+    tables.targets[record.target] = record
+    install_cell(tables, record)
+    review_aside(tables)
+
+
+def install_cell(tables: state.State, record: target.Target) -> None:
+    """Enter a target into the index, with what its attempts hold."""
+    old = tables.fleet.cells.get(record.target)
+    attempts = old.attempts if old else set()
+    free = record.capacity
+    for name in attempts:
+        free = resource.subtract(free, tables.attempts[name].held)
+    if old:
+        tables.fleet.remove(record.target)
+    tables.fleet.add(
+        fleet.Cell(
+            target=record.target,
+            data_centre=record.data_centre,
+            rack=record.rack,
+            capacity=record.capacity,
+            free=free,
+            attempts=attempts,
+        )
+    )
+    health.refresh(tables, record.target)
+
+
+def review_aside(tables: state.State) -> None:
+    """Let tasks that were set aside wait in their queues if they may fit."""
+    for name, demand in sorted(tables.waiting.aside.items()):
+        if tables.fleet.could_fit(demand):
+            tables.waiting.aside.pop(name)
+            lifecycle.enqueue(tables, tables.tasks[name])
+
+
+def _close_target(tables: state.State, session: target.Session) -> None:
+    record = tables.targets[session.target]
+    if record.session == session.session:
+        record = msgspec.structs.replace(record, session=None, is_leaving=False)
+        tables.targets[record.target] = record
+        health.refresh(tables, record.target)
+    cell = tables.fleet.cells[record.target]
+    if record.session is None and not cell.attempts:
+        _remove_target(tables, cell)
+
+
+def _remove_target(tables: state.State, cell: fleet.Cell) -> None:
+    is_last_of_kind = tables.fleet.capacities[cell.capacity] == 1
+    tables.fleet.remove(cell.target)
+    record = tables.targets.pop(cell.target)
+    tables.quarantined.discard((record.health.until, cell.target))
+    if is_last_of_kind:
+        _set_aside_again(tables)
+
+
+def _set_aside_again(tables: state.State) -> None:
+    # What fitted only on the removed kind of target must block nobody.
+    names = [
+        position.task
+        for queue in tables.waiting.queues.values()
+        for position in queue
+    ]
+    for name in names:
+        task = tables.tasks[name]
+        demand = tables.task_specification(task).demand()
+        if not tables.fleet.could_fit(demand):
+            key = lifecycle.key_of(tables, task)
+            tables.waiting.discard(key, lifecycle.position_of(task))
+            tables.waiting.aside[name] = demand
--- /dev/null
+++ b/mulberrywalk/core/snapshot.py
@@ -0,0 +1,118 @@
+"""Encoding of the state's records; indexes are rebuilt from them."""
+
+from __future__ import annotations
+
+from typing import TypeVar
+
+import msgspec
+
+from . import (
+    configuration,
+    health,
+    job,
+    lifecycle,
+    session,
+    state,
+    target,
+)
+
+Key = TypeVar('Key', bound=str)
+Record = TypeVar('Record')
+
+
+class Image(msgspec.Struct, frozen=True):
+    """All records of a state, in the order of their identifiers."""
+
+    time: int
+    sequence: int
+    configuration: configuration.Configuration
+    jobs: list[job.Job]
+    tasks: list[job.Task]
+    attempts: list[job.Attempt]
+    targets: list[target.Target]
+    sessions: list[target.Session]
+    budgets: dict[str, int]
+    patches: list[tuple[str, state.PatchRecord]]
+    reservation: state.Reservation | None
+
+
+def encode(tables: state.State) -> bytes:
+    """Return the records; equal states give equal bytes."""
+    image = Image(
+        time=tables.time,
+        sequence=tables.sequence,
+        configuration=tables.configuration,
+        jobs=_ordered(tables.jobs),
+        tasks=_ordered(tables.tasks),
+        attempts=_ordered(tables.attempts),
+        targets=_ordered(tables.targets),
+        sessions=_ordered(tables.sessions),
+        budgets=dict(sorted(tables.budgets.items())),
+        patches=list(tables.patches.items()),
+        reservation=tables.reservation,
+    )
+    return msgspec.msgpack.encode(image)
+
+
+def decode(encoded: bytes) -> state.State:
+    """Return a state with the records and all of its indexes."""
+    image = msgspec.msgpack.decode(encoded, type=Image)
+    tables = state.State(
+        time=image.time,
+        sequence=image.sequence,
+        configuration=image.configuration,
+        jobs={record.job: record for record in image.jobs},
+        tasks={record.task: record for record in image.tasks},
+        targets={record.target: record for record in image.targets},
+        sessions={record.session: record for record in image.sessions},
+        budgets=image.budgets,
+        patches=dict(image.patches),
+    )
+    _index_targets(tables)
+    _index_jobs(tables)
+    for attempt in image.attempts:
+        state.add_attempt(tables, attempt)
+    _index_tasks(tables)
+    _restore_reservation(tables, image.reservation)
+    return tables
+
+
+def _ordered(table: dict[Key, Record]) -> list[Record]:
+    return [table[key] for key in sorted(table)]
+
+
+def _index_targets(tables: state.State) -> None:
+    for record in tables.targets.values():
+        session.install_cell(tables, record)
+        if record.health.until > tables.time:
+            tables.quarantined.add((record.health.until, record.target))
+        health.refresh(tables, record.target)
+
+
+def _index_jobs(tables: state.State) -> None:
+    for record in tables.jobs.values():
+        specification = record.specification
+        request = (specification.team, specification.request_id)
+        tables.requests[request] = record.job
+        if record.unfinished == 0:
+            tables.finished.add((record.ended_at, record.job))
+
+
+def _index_tasks(tables: state.State) -> None:
+    waiting = [
+        task
+        for task in tables.tasks.values()
+        if task.state is job.TaskState.WAITING
+    ]
+    for task in waiting:
+        lifecycle.wait(tables, task)
+
+
+def _restore_reservation(
+    tables: state.State, reservation: state.Reservation | None
+) -> None:
+    tables.reservation = reservation
+    if reservation is None:
+        return
+    for name in reservation.targets:
+        tables.fleet.reserve(tables.fleet.cells[name], reservation.job)
--- /dev/null
+++ b/mulberrywalk/core/state.py
@@ -0,0 +1,190 @@
+"""The state that the reducer owns: tables of records and their indexes.
+
+Records are immutable and replaced whole. The tables are changed in place,
+because copying maps of tens of thousands of records for each event would
+cost more than the decisions; only the reducer and its helpers may do so.
+"""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+
+import msgspec
+from sortedcontainers import SortedList
+
+from . import (
+    configuration,
+    effect,
+    fleet,
+    identity,
+    job,
+    resource,
+    target,
+    waiting,
+)
+
+PATCHES_KEPT = 10_000
+
+
+class PatchRecord(msgspec.Struct, frozen=True):
+    """The first answer to a patch: its version, or why it was refused."""
+
+    digest: str
+    version: int
+    refusal: str = ''
+    detail: str = ''
+
+
+@dataclasses.dataclass(slots=True)
+class Reservation:
+    """Targets kept for a gang; starts_at estimates when all are free."""
+
+    job: identity.JobId
+    targets: tuple[identity.TargetId, ...]
+    starts_at: int
+    made_at: int
+
+
+@dataclasses.dataclass(slots=True)
+class State:
+    """Everything that is decided from.
+
+    time is the latest event's, in milliseconds since 1970. budgets holds the
+    retry tokens of each team in hundredths. requests finds the job of a team's
+    request id. finished orders ended jobs by the time of their end.
+    """
+
+    time: int = 0
+    sequence: int = 0
+    configuration: configuration.Configuration = dataclasses.field(
+        default_factory=lambda: configuration.Configuration(
+            1, configuration.Document()
+        )
+    )
+    jobs: dict[identity.JobId, job.Job] = dataclasses.field(
+        default_factory=dict
+    )
+    tasks: dict[identity.TaskId, job.Task] = dataclasses.field(
+        default_factory=dict
+    )
+    attempts: dict[identity.AttemptId, job.Attempt] = dataclasses.field(
+        default_factory=dict
+    )
+    targets: dict[identity.TargetId, target.Target] = dataclasses.field(
+        default_factory=dict
+    )
+    sessions: dict[identity.SessionId, target.Session] = dataclasses.field(
+        default_factory=dict
+    )
+    budgets: dict[str, int] = dataclasses.field(default_factory=dict)
+    patches: dict[str, PatchRecord] = dataclasses.field(default_factory=dict)
+    reservation: Reservation | None = None
+
+    fleet: fleet.Fleet = dataclasses.field(default_factory=fleet.Fleet)
+    waiting: waiting.Waiting = dataclasses.field(
+        default_factory=waiting.Waiting
+    )
+    requests: dict[tuple[str, str], identity.JobId] = dataclasses.field(
+        default_factory=dict
+    )
+    finished: SortedList = dataclasses.field(default_factory=SortedList)
+    by_session: dict[identity.SessionId, set[identity.AttemptId]] = (
+        dataclasses.field(default_factory=lambda: collections.defaultdict(set))
+    )
+    by_urgency: dict[job.Urgency, SortedList] = dataclasses.field(
+        default_factory=lambda: {
+            urgency: SortedList() for urgency in job.Urgency
+        }
+    )
+    quarantined: SortedList = dataclasses.field(default_factory=SortedList)
+    urgency_usage: dict[job.Urgency, resource.Resources] = dataclasses.field(
+        default_factory=lambda: dict.fromkeys(job.Urgency, resource.NOTHING)
+    )
+    team_usage: dict[str, resource.Resources] = dataclasses.field(
+        default_factory=dict
+    )
+    preempting: int = 0
+    effects: list[effect.Effect] = dataclasses.field(default_factory=list)
+
+    def specification(self, task: job.Task) -> job.Specification:
+        """Return the specification of a task's job."""
+        return self.jobs[task.job].specification
+
+    def task_specification(self, task: job.Task) -> job.TaskSpecification:
+        """Return what a task needs."""
+        return self.specification(task).tasks[task.number]
+
+    def next_sequence(self) -> int:
+        """Return a number that was not used before."""
+        self.sequence += 1
+        return self.sequence
+
+    def emit(self, emitted: effect.Effect) -> None:
+        """Add an effect to those of the present event."""
+        self.effects.append(emitted)
+
+
+def add_attempt(state: State, attempt: job.Attempt) -> None:
+    """Count a live attempt against its target, team and urgency."""
+    task = state.tasks[attempt.task]
+    specification = state.specification(task)
+    state.attempts[attempt.attempt] = attempt
+    state.by_session[attempt.session].add(attempt.attempt)
+    state.by_urgency[specification.urgency].add(
+        (attempt.placed_at, attempt.attempt)
+    )
+    if attempt.stopping is job.StopReason.PREEMPTED:
+        state.preempting += 1
+    _account(state, attempt, specification, attempt.held)
+
+
+def remove_attempt(state: State, attempt: job.Attempt) -> None:
+    """Give back what an attempt held, its end being known."""
+    task = state.tasks[attempt.task]
+    specification = state.specification(task)
+    state.attempts.pop(attempt.attempt)
+    session_attempts = state.by_session[attempt.session]
+    session_attempts.discard(attempt.attempt)
+    state.by_urgency[specification.urgency].remove(
+        (attempt.placed_at, attempt.attempt)
+    )
+    if attempt.stopping is job.StopReason.PREEMPTED:
+        state.preempting -= 1
+    _account(
+        state,
+        attempt,
+        specification,
+        resource.subtract(resource.NOTHING, attempt.held),
+    )
+
+
+def replace_attempt(state: State, changed: job.Attempt) -> None:
+    """Replace a live attempt by a later record of it."""
+    remove_attempt(state, state.attempts[changed.attempt])
+    add_attempt(state, changed)
+
+
+def _account(
+    state: State,
+    attempt: job.Attempt,
+    specification: job.Specification,
+    held: resource.Resources,
+) -> None:
+    urgency = specification.urgency
+    state.urgency_usage[urgency] = resource.add(
+        state.urgency_usage[urgency], held
+    )
+    team = specification.team
+    usage = resource.add(state.team_usage.get(team, resource.NOTHING), held)
+    if usage == resource.NOTHING:
+        state.team_usage.pop(team, None)
+    else:
+        state.team_usage[team] = usage
+    cell = state.fleet.cells[attempt.target]
+    free = resource.subtract(cell.free, held)
+    if attempt.attempt in state.attempts:
+        cell.attempts.add(attempt.attempt)
+    else:
+        cell.attempts.discard(attempt.attempt)
+    state.fleet.change(cell, free=free)
--- /dev/null
+++ b/mulberrywalk/core/target.py
@@ -0,0 +1,43 @@
+"""Records of targets and their sessions."""
+
+from __future__ import annotations
+
+import msgspec
+
+from . import identity, resource
+
+LEASE_MS = 4000
+MARGIN_MS = 300
+
+
+class Health(msgspec.Struct, frozen=True):
+    """How a target has done lately.
+
+    failures counts the blamed failures since the last success; level the
+    quarantines since then; until is when the present one ends, zero for none.
+    """
+
+    failures: int = 0
+    level: int = 0
+    until: int = 0
+
+
+class Target(msgspec.Struct, frozen=True):
+    """An instance that runs tasks; session is the one that takes new work."""
+
+    target: identity.TargetId
+    data_centre: identity.DataCentre
+    rack: identity.Rack
+    capacity: resource.Resources
+    session: identity.SessionId | None
+    is_leaving: bool = False
+    health: Health = Health()
+
+
+class Session(msgspec.Struct, frozen=True):
+    """A target's permission to run attempts, until its lease runs out."""
+
+    session: identity.SessionId
+    target: identity.TargetId
+    nonce: str
+    opened_at: int
--- /dev/null
+++ b/mulberrywalk/core/usage.py
@@ -0,0 +1,66 @@
+"""Correction of declared amounts by what targets report."""
+
+from __future__ import annotations
+
+import msgspec
+
+from . import effect, event, fleet, job, lifecycle, resource, state
+
+
+def correct(tables: state.State, received: event.ReportReceived) -> None:
+    """Hold the larger of declared and used, and relieve a full target."""
+    targets = {
+        _correct_attempt(tables, used)
+        for used in received.usage
+        if used.attempt in tables.attempts
+        and tables.attempts[used.attempt].session == received.session
+    }
+    for name in sorted(targets):
+        _relieve(tables, tables.fleet.cells[name])
+
+
+def _correct_attempt(tables: state.State, used: event.AttemptUsage) -> str:
+    attempt = tables.attempts[used.attempt]
+    task = tables.tasks[attempt.task]
+    declared = tables.task_specification(task).demand()
+    seen = resource.Resources(used.millicores, used.memory_bytes)
+    held = resource.larger(declared, seen)
+    if held != attempt.held:
+        state.replace_attempt(
+            tables, msgspec.structs.replace(attempt, held=held)
+        )
+    return attempt.target
+
+
+def _relieve(tables: state.State, cell: fleet.Cell) -> None:
+    """Throttle, or else checkpoint and requeue, the least urgent work."""
+    if resource.fits(resource.NOTHING, cell.free):
+        return
+    victim = _choose_victim(tables, cell)
+    if victim is None:
+        return
+    if cell.free.memory_bytes >= 0 and not victim.is_throttled:
+        throttled = msgspec.structs.replace(victim, is_throttled=True)
+        state.replace_attempt(tables, throttled)
+        tables.emit(effect.ThrottleAttempt(throttled))
+        lifecycle.trace(tables, 'throttled', throttled)
+        return
+    lifecycle.stop(tables, victim, job.StopReason.OVERUSED)
+
+
+def _choose_victim(tables: state.State, cell: fleet.Cell) -> job.Attempt | None:
+    candidates = [
+        attempt
+        for attempt in (tables.attempts[name] for name in cell.attempts)
+        if attempt.stopping is None
+        and tables.specification(tables.tasks[attempt.task]).is_idempotent
+    ]
+    return max(
+        candidates,
+        key=lambda attempt: (
+            job.rank(tables.specification(tables.tasks[attempt.task]).urgency),
+            attempt.placed_at,
+            attempt.attempt,
+        ),
+        default=None,
+    )
--- /dev/null
+++ b/mulberrywalk/core/waiting.py
@@ -0,0 +1,92 @@
+"""Queues of waiting tasks, one for each urgency and team.
+
+Derived from the task records: the order within a queue is the order of
+submission, so that a retried task keeps its place.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import itertools
+from collections.abc import Iterator
+from typing import NamedTuple
+
+from sortedcontainers import SortedList
+
+from . import identity, job, resource
+
+
+class QueueKey(NamedTuple):
+    """Identifies a queue: the place of its urgency, and its team."""
+
+    rank: int
+    team: str
+
+
+class Position(NamedTuple):
+    """Where a task stands in its queue."""
+
+    submitted_at: int
+    sequence: int
+    number: int
+    task: identity.TaskId
+
+
+@dataclasses.dataclass(slots=True)
+class Waiting:
+    """All waiting tasks.
+
+    delayed holds the tasks that wait for a retry time, aside those that fit
+    on no target that is known, however empty.
+    """
+
+    queues: dict[QueueKey, SortedList] = dataclasses.field(default_factory=dict)
+    delayed: SortedList = dataclasses.field(default_factory=SortedList)
+    aside: dict[identity.TaskId, resource.Resources] = dataclasses.field(
+        default_factory=dict
+    )
+    counts: dict[QueueKey, int] = dataclasses.field(default_factory=dict)
+
+    def add(self, key: QueueKey, position: Position) -> None:
+        """Let a task wait in its queue."""
+        self.queues.setdefault(key, SortedList()).add(position)
+
+    def discard(self, key: QueueKey, position: Position) -> None:
+        """Take a task out of its queue if it is there."""
+        queue = self.queues.get(key)
+        if queue is None:
+            return
+        queue.discard(position)
+        if not queue:
+            self.queues.pop(key)
+
+    def heads(self, key: QueueKey, limit: int) -> list[Position]:
+        """Return the first positions of a queue."""
+        queue = self.queues.get(key)
+        if queue is None:
+            return []
+        return list(itertools.islice(queue, limit))
+
+    def due(self, now: int) -> Iterator[identity.TaskId]:
+        """Yield and remove the delayed tasks whose time has come."""
+        while self.delayed and self.delayed[0][0] <= now:
+            _, task = self.delayed.pop(0)
+            yield task
+
+    def count(self, key: QueueKey, change: int) -> None:
+        """Change how many tasks of a queue's urgency and team wait."""
+        counted = self.counts.get(key, 0) + change
+        if counted:
+            self.counts[key] = counted
+        else:
+            self.counts.pop(key, None)
+
+
+def queue_key(urgency: job.Urgency, team: str) -> QueueKey:
+    """Return the queue of an urgency and a team."""
+    return QueueKey(job.rank(urgency), team)
+
+
+def sequence_number(identifier: identity.JobId) -> int:
+    """Return the number within a job identifier."""
+    return int(identifier[1:])
--- /dev/null
+++ b/mulberrywalk/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry program: callers, operators and target sessions."""
--- /dev/null
+++ b/mulberrywalk/entry/answer.py
@@ -0,0 +1,120 @@
+"""HTTP responses for outcomes and errors."""
+
+from __future__ import annotations
+
+import dataclasses
+import math
+import re
+from types import MappingProxyType
+from typing import Any
+
+import msgspec
+from starlette import responses
+
+from ..core import outcome
+from ..transport import codec
+
+_FIELD = re.compile(r'`\$\.?([^`]*)`')
+_MS_PER_S = 1000
+_OK = 200
+_UNKNOWN = 504
+_TOO_LARGE = 413
+_BAD_REQUEST = 400
+
+_REFUSALS: MappingProxyType[str, int] = MappingProxyType(
+    {
+        outcome.RefusalReason.QUEUE_FULL.value: 429,
+        outcome.RefusalReason.TOO_LARGE.value: _TOO_LARGE,
+        outcome.RefusalReason.REQUEST_REUSED.value: 409,
+        outcome.RefusalReason.STALE_VERSION.value: 409,
+        outcome.RefusalReason.INVALID_PATCH.value: 422,
+        outcome.RefusalReason.NOT_FOUND.value: 404,
+        outcome.RefusalReason.NOT_READY.value: 503,
+        outcome.RefusalReason.SESSION_GONE.value: 410,
+    }
+)
+_STATUSES: MappingProxyType[str, int] = MappingProxyType(
+    {
+        'accepted': 202,
+        'cancelled': 202,
+    }
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class InputError:
+    """A request that cannot be understood; field is a path within it."""
+
+    status: int
+    field: str
+    message: str
+
+
+def invalid(error: Exception) -> InputError:
+    """Return what is wrong with a body that could not be decoded."""
+    message = str(error)
+    found = _FIELD.search(message)
+    field = found.group(1) if found else ''
+    return InputError(_BAD_REQUEST, field, message)
+
+
+def too_large(limit: int) -> InputError:
+    """Return the error for a body over the limit in bytes."""
+    return InputError(_TOO_LARGE, '', f'the body exceeds {limit} bytes')
+
+
+def respond_error(error: InputError) -> responses.Response:
+    """Return the response for a request that was not understood."""
+    body = {
+        codec.TAG: 'invalid_request',
+        'field': error.field,
+        'message': error.message,
+    }
+    return _json(error.status, body)
+
+
+def respond(body: dict[str, Any]) -> responses.Response:
+    """Return the response for a reply of the leader."""
+    tag = body[codec.TAG]
+    headers: dict[str, str] = {}
+    status = _STATUSES.get(tag, _OK)
+    if 'reason' in body:
+        status = _REFUSALS.get(body['reason'], _BAD_REQUEST)
+    if body.get('retry_after_ms'):
+        seconds = math.ceil(body['retry_after_ms'] / _MS_PER_S)
+        headers['Retry-After'] = str(seconds)
+    return _json(status, body, headers)
+
+
+def respond_unknown(request_id: str) -> responses.Response:
+    """Return the response when no answer came in time."""
+    body = {
+        codec.TAG: 'unknown',
+        'request_id': request_id,
+        'message': 'no answer in time: ask again with the same request id',
+    }
+    return _json(_UNKNOWN, body)
+
+
+def respond_not_ready(detail: str) -> responses.Response:
+    """Return the response of an entry that takes no new work."""
+    refusal = outcome.NotRun(outcome.RefusalReason.NOT_READY, detail, _MS_PER_S)
+    return respond(codec.to_builtins(refusal))
+
+
+def respond_plain(
+    body: dict[str, Any], status: int = _OK
+) -> responses.Response:
+    """Return a response that carries no outcome."""
+    return _json(status, body)
+
+
+def _json(
+    status: int, body: Any, headers: dict[str, str] | None = None
+) -> responses.Response:
+    return responses.Response(
+        msgspec.json.encode(body),
+        status_code=status,
+        headers=headers,
+        media_type='application/json',
+    )
--- /dev/null
+++ b/mulberrywalk/entry/caller.py
@@ -0,0 +1,301 @@
+"""The HTTP interface of an entry, for callers and operators."""
+
+from __future__ import annotations
+
+import dataclasses
+import hashlib
+from collections.abc import Awaitable, Callable
+from typing import Annotated, Any, TypeVar
+
+import anyio
+import msgspec
+from starlette import applications, requests, responses, routing, websockets
+
+from ..core import identity, job
+from ..telemetry import journal, metric
+from ..transport import channel, codec, wire
+from . import answer, connection, upstream
+
+MAX_BODY_BYTES = 4_194_304
+MAX_WAIT_S = 300.0
+_CALL_S = 10.0
+_CLIENT_ERROR = 400
+
+Body = TypeVar('Body')
+Endpoint = Callable[[requests.Request], Awaitable[responses.Response]]
+
+
+class ConfigurationPatch(
+    msgspec.Struct, frozen=True, forbid_unknown_fields=True
+):
+    """A JSON merge patch against a version of the configuration."""
+
+    request_id: job.Name
+    version: Annotated[int, msgspec.Meta(ge=1)]
+    changes: dict[str, Any]
+
+
+@dataclasses.dataclass(slots=True)
+class Duty:
+    """What the entry is doing, for readiness and a planned stop."""
+
+    is_draining: bool = False
+    in_progress: int = 0
+
+
+class Interface:
+    """Answers HTTP requests by calls to the leader."""
+
+    def __init__(
+        self,
+        leader: upstream.Upstream,
+        targets: connection.Connections,
+        lines: journal.Journal,
+        metrics: metric.Metrics,
+    ) -> None:
+        """Prepare; application returns what a server serves."""
+        self.duty = Duty()
+        self._leader = leader
+        self._targets = targets
+        self._journal = lines
+        self._metrics = metrics
+
+    def application(self) -> applications.Starlette:
+        """Return the ASGI application with all routes."""
+        routes: list[routing.BaseRoute] = [
+            self._route('/v1/jobs', self.submit, 'POST'),
+            self._route('/v1/jobs/{job}', self.get_job, 'GET'),
+            self._route('/v1/jobs/{job}', self.cancel, 'DELETE'),
+            self._route('/v1/jobs/{job}/explanation', self.explain, 'GET'),
+            self._route('/v1/configuration', self.get_configuration, 'GET'),
+            self._route('/v1/configuration', self.patch_configuration, 'PATCH'),
+            self._route('/v1/members', self.get_members, 'GET'),
+            self._route('/v1/targets', self.get_targets, 'GET'),
+            self._route('/v1/timeline', self.get_timeline, 'GET'),
+            routing.Route('/v1/health', self.get_health, methods=['GET']),
+            routing.Route('/v1/ready', self.get_readiness, methods=['GET']),
+            routing.WebSocketRoute('/v1/target', self.accept_target),
+        ]
+        return applications.Starlette(routes=routes)
+
+    async def submit(self, request: requests.Request) -> responses.Response:
+        """Submit a job and, when asked to, wait for its end."""
+        encoded = await read_body(request)
+        seconds = parse_wait(request)
+        if isinstance(encoded, answer.InputError):
+            return answer.respond_error(encoded)
+        if isinstance(seconds, answer.InputError):
+            return answer.respond_error(seconds)
+        specification = decode(encoded, job.Specification)
+        if isinstance(specification, answer.InputError):
+            return answer.respond_error(specification)
+        if not self._leader.is_current():
+            return answer.respond_not_ready(
+                'the configuration could not be confirmed'
+            )
+        digest = hashlib.sha256(
+            msgspec.json.encode(specification, order='sorted')
+        ).hexdigest()
+        submission = wire.Submit(specification, digest)
+        reply = await self._leader.call(submission, _CALL_S)
+        if reply is None:
+            return answer.respond_unknown(specification.request_id)
+        self._journal.record(
+            'answered',
+            f'{specification.request_id} {reply[codec.TAG]}',
+            job=reply.get('job', ''),
+        )
+        self._metrics.incr(f'submit.{reply[codec.TAG]}')
+        if seconds and reply[codec.TAG] == 'accepted':
+            return await self._wait(reply, seconds)
+        return answer.respond(reply)
+
+    async def get_job(self, request: requests.Request) -> responses.Response:
+        """Return a job; held until its end when asked to wait."""
+        seconds = parse_wait(request)
+        if isinstance(seconds, answer.InputError):
+            return answer.respond_error(seconds)
+        name = _job_of(request)
+        if seconds:
+            reply = await self._leader.call(
+                wire.GetJob(name, is_waiting=True), seconds
+            )
+            if reply is not None:
+                return answer.respond(reply)
+        return await self._ask(wire.GetJob(name), name)
+
+    async def cancel(self, request: requests.Request) -> responses.Response:
+        """Cancel a job."""
+        name = _job_of(request)
+        return await self._ask(wire.Cancel(name), name)
+
+    async def explain(self, request: requests.Request) -> responses.Response:
+        """Explain why a job waits or where it ran."""
+        name = _job_of(request)
+        return await self._ask(wire.Explain(name), name)
+
+    async def get_configuration(
+        self, _: requests.Request
+    ) -> responses.Response:
+        """Return the configuration and its reach."""
+        return await self._ask(wire.GetConfiguration())
+
+    async def patch_configuration(
+        self, request: requests.Request
+    ) -> responses.Response:
+        """Patch the configuration."""
+        encoded = await read_body(request)
+        if isinstance(encoded, answer.InputError):
+            return answer.respond_error(encoded)
+        patch = decode(encoded, ConfigurationPatch)
+        if isinstance(patch, answer.InputError):
+            return answer.respond_error(patch)
+        if not self._leader.is_current():
+            return answer.respond_not_ready(
+                'the configuration could not be confirmed'
+            )
+        return await self._ask(
+            wire.PatchConfiguration(
+                patch.request_id, patch.version, patch.changes
+            ),
+            patch.request_id,
+        )
+
+    async def get_members(self, _: requests.Request) -> responses.Response:
+        """Return replicas and entries."""
+        return await self._ask(wire.GetMembers())
+
+    async def get_targets(self, _: requests.Request) -> responses.Response:
+        """Return all targets."""
+        return await self._ask(wire.GetTargets())
+
+    async def get_timeline(
+        self, request: requests.Request
+    ) -> responses.Response:
+        """Return the merged lines of this entry and of all replicas."""
+        try:
+            wanted = msgspec.convert(
+                dict(request.query_params), type=journal.Filter, strict=False
+            )
+        except msgspec.ValidationError as error:
+            return answer.respond_error(answer.invalid(error))
+        collected = self._journal.find(wanted)
+        unreachable: list[str] = []
+        for address in list(self._leader.addresses):
+            lines = await _ask_timeline(address, wanted)
+            if lines is None:
+                unreachable.append(address)
+            else:
+                collected.extend(lines)
+        merged = msgspec.to_builtins(journal.merge(collected))
+        return answer.respond_plain(
+            {
+                'lines': merged,
+                'unreachable': unreachable,
+            }
+        )
+
+    async def get_health(self, _: requests.Request) -> responses.Response:
+        """Return that the process runs, and what it carries."""
+        return answer.respond_plain(
+            {
+                'status': 'up',
+                'targets': self._targets.count(),
+                'in_progress': self.duty.in_progress,
+            }
+        )
+
+    async def get_readiness(self, _: requests.Request) -> responses.Response:
+        """Return whether the balancer should send requests here."""
+        if self.duty.is_draining:
+            return answer.respond_not_ready('this entry is stopping')
+        if not self._leader.is_current():
+            return answer.respond_not_ready('no leader confirms this entry')
+        return answer.respond_plain({'status': 'ready'})
+
+    async def accept_target(self, socket: websockets.WebSocket) -> None:
+        """Serve a target."""
+        await self._targets.accept(socket)
+
+    def _route(
+        self, path: str, endpoint: Endpoint, method: str
+    ) -> routing.Route:
+        async def serve(request: requests.Request) -> responses.Response:
+            self.duty.in_progress += 1
+            try:
+                return await endpoint(request)
+            finally:
+                self.duty.in_progress -= 1
+
+        return routing.Route(path, serve, methods=[method])
+
+    async def _wait(
+        self, accepted: dict[str, Any], seconds: float
+    ) -> responses.Response:
+        name = identity.JobId(accepted['job'])
+        reply = await self._leader.call(
+            wire.GetJob(name, is_waiting=True), seconds
+        )
+        return answer.respond(accepted if reply is None else reply)
+
+    async def _ask(
+        self, request: wire.Request, request_id: str = ''
+    ) -> responses.Response:
+        reply = await self._leader.call(request, _CALL_S)
+        if reply is None:
+            return answer.respond_unknown(request_id)
+        return answer.respond(reply)
+
+
+async def read_body(
+    request: requests.Request,
+) -> bytes | answer.InputError:
+    """Return the body of a request, or the error when it is too large."""
+    chunks: list[bytes] = []
+    size = 0
+    async for chunk in request.stream():
+        size += len(chunk)
+        if size > MAX_BODY_BYTES:
+            return answer.too_large(MAX_BODY_BYTES)
+        chunks.append(chunk)
+    return b''.join(chunks)
+
+
+def decode(encoded: bytes, kind: type[Body]) -> Body | answer.InputError:
+    """Return a decoded body, or the error that names the field."""
+    try:
+        return msgspec.json.decode(encoded, type=kind)
+    except (msgspec.ValidationError, msgspec.DecodeError) as error:
+        return answer.invalid(error)
+
+
+def parse_wait(request: requests.Request) -> float | answer.InputError:
+    """Return the seconds to wait, zero for none, or the error."""
+    text = request.query_params.get('wait', '0')
+    try:
+        seconds = float(text)
+    except ValueError:
+        seconds = -1
+    if 0 <= seconds <= MAX_WAIT_S:
+        return seconds
+    return answer.InputError(
+        _CLIENT_ERROR,
+        'wait',
+        f'{text!r} is not a number of seconds from 0 to {MAX_WAIT_S:.0f}',
+    )
+
+
+async def _ask_timeline(
+    address: str, wanted: journal.Filter
+) -> tuple[journal.Line, ...] | None:
+    encoded = msgspec.msgpack.encode(wire.TimelineRequest(wanted))
+    try:
+        with anyio.fail_after(channel.SILENCE_S):
+            answered = await channel.ask(address, channel.TIMELINE, encoded)
+    except (ConnectionError, TimeoutError):
+        return None
+    return msgspec.msgpack.decode(answered, type=wire.TimelineReply).lines
+
+
+def _job_of(request: requests.Request) -> identity.JobId:
+    return identity.JobId(request.path_params['job'])
--- /dev/null
+++ b/mulberrywalk/entry/protocol.py
@@ -0,0 +1,174 @@
+"""Messages of the target protocol, JSON over one WebSocket.
+
+docs/PROTOCOL.md describes each of them for authors of targets.
+"""
+
+from __future__ import annotations
+
+from typing import Annotated, TypeAlias
+
+import msgspec
+
+from ..core import identity, job, resource
+from ..transport import wire
+
+VERSION = 1
+MAX_ANSWER = 65_536
+MAX_MESSAGE_BYTES = 8_388_608
+
+Amount = Annotated[int, msgspec.Meta(ge=0, le=1 << 53)]
+Stamp = Annotated[int, msgspec.Meta(ge=0, le=1 << 62)]
+
+
+class Capacity(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """What a target offers."""
+
+    millicores: Amount
+    memory_bytes: Amount
+    slots: Amount
+    accelerators: Amount = 0
+
+    def resources(self) -> resource.Resources:
+        """Return the capacity as amounts."""
+        return resource.Resources(
+            self.millicores, self.memory_bytes, self.accelerators, self.slots
+        )
+
+
+class Hello(
+    msgspec.Struct,
+    frozen=True,
+    tag_field='type',
+    tag='hello',
+    forbid_unknown_fields=True,
+):
+    """The first message of a target.
+
+    resume names a session to go on with; ended one of which the target
+    certifies that nothing runs any more.
+    """
+
+    version: int
+    target: job.Name
+    data_centre: job.Name
+    rack: job.Name
+    capacity: Capacity
+    nonce: job.Name
+    resume: str | None = None
+    ended: str | None = None
+    clock: Stamp = 0
+
+
+class Renew(
+    msgspec.Struct,
+    frozen=True,
+    tag_field='type',
+    tag='renew',
+    forbid_unknown_fields=True,
+):
+    """Asks to extend the lease; also the target's heartbeat."""
+
+    sequence: Stamp
+    clock: Stamp = 0
+
+
+class Started(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """An attempt that the target has started."""
+
+    attempt: str
+    clock: Stamp = 0
+
+
+class Ended(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """An attempt that has ended, or that will never start."""
+
+    attempt: str
+    reason: job.EndReason
+    answer: Annotated[str, msgspec.Meta(max_length=MAX_ANSWER)] = ''
+    detail: Annotated[str, msgspec.Meta(max_length=MAX_ANSWER)] = ''
+    checkpoint: Annotated[str, msgspec.Meta(max_length=MAX_ANSWER)] = ''
+    clock: Stamp = 0
+
+
+class Usage(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """What an attempt uses."""
+
+    attempt: str
+    millicores: Amount
+    memory_bytes: Amount
+
+
+class Report(
+    msgspec.Struct,
+    frozen=True,
+    tag_field='type',
+    tag='report',
+    forbid_unknown_fields=True,
+):
+    """What has happened on the target; ends repeat until acknowledged."""
+
+    started: tuple[Started, ...] = ()
+    ended: tuple[Ended, ...] = ()
+    usage: tuple[Usage, ...] = ()
+    clock: Stamp = 0
+
+
+class Leave(
+    msgspec.Struct,
+    frozen=True,
+    tag_field='type',
+    tag='leave',
+    forbid_unknown_fields=True,
+):
+    """The target is leaving: it takes no new work."""
+
+    clock: Stamp = 0
+
+
+FromTarget: TypeAlias = Hello | Renew | Report | Leave
+
+
+class Welcome(msgspec.Struct, frozen=True, tag_field='type', tag='welcome'):
+    """The session is open; its lease counts from when hello was sent."""
+
+    session: identity.SessionId
+    lease_ms: int
+    clock: int
+
+
+class Renewed(msgspec.Struct, frozen=True, tag_field='type', tag='renewed'):
+    """The lease counts from when the renewal of that number was sent."""
+
+    sequence: int
+    clock: int
+
+
+class Commands(msgspec.Struct, frozen=True, tag_field='type', tag='commands'):
+    """What the target is to do, each part possibly empty."""
+
+    start: tuple[wire.StartCommand, ...]
+    stop: tuple[wire.StopCommand, ...]
+    throttle: tuple[identity.AttemptId, ...]
+    acknowledge: tuple[identity.AttemptId, ...]
+    clock: int
+
+
+class Expired(msgspec.Struct, frozen=True, tag_field='type', tag='expired'):
+    """The session is over: stop everything, then open a new one."""
+
+    clock: int
+
+
+class Move(msgspec.Struct, frozen=True, tag_field='type', tag='move'):
+    """This entry is stopping: resume the session at another."""
+
+    clock: int
+
+
+class Refused(msgspec.Struct, frozen=True, tag_field='type', tag='error'):
+    """Why the connection is being closed."""
+
+    reason: str
+
+
+ToTarget: TypeAlias = Welcome | Renewed | Commands | Expired | Move | Refused
--- /dev/null
+++ b/mulberrywalk/entry/upstream.py
@@ -0,0 +1,209 @@
+"""The entry's stream to the leader, and the calls made over it."""
+
+from __future__ import annotations
+
+import dataclasses
+import itertools
+from collections.abc import Callable
+from typing import Any
+
+import anyio
+
+from ..core import configuration
+from ..telemetry import clock, journal
+from ..transport import channel, wire
+
+# An entry that could not prove for this long that its configuration is
+# current takes no new work.
+CURRENT_MS = 3000
+_REDIAL_S = 0.1
+
+ToLeader = channel.Stream[wire.FromEntryBatch, wire.ToEntryBatch]
+
+
+class RedirectError(ConnectionError):
+    """The replica does not lead; the address is the leader's or empty."""
+
+    def __init__(self, address: str) -> None:
+        """Keep the address to dial next."""
+        super().__init__(f'redirected to {address or "nobody"}')
+        self.address = address
+
+
+@dataclasses.dataclass(slots=True)
+class PendingCall:
+    """A call that was not answered yet; sent again to each new leader."""
+
+    request: wire.Request
+    body: dict[str, Any] | None = None
+    done: anyio.Event = dataclasses.field(default_factory=anyio.Event)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Hooks:
+    """Who takes what the leader sends for targets."""
+
+    command: Callable[[wire.Commands], None]
+    renew: Callable[[wire.Renewed], None]
+    end: Callable[[wire.Gone], None]
+
+
+class Upstream:
+    """Keeps one stream to the leader, wherever it is."""
+
+    def __init__(
+        self, addresses: tuple[str, ...], lines: journal.Journal
+    ) -> None:
+        """Prepare; run dials the replicas in turn."""
+        self.configuration: configuration.Configuration | None = None
+        self.hooks: Hooks | None = None
+        self.addresses = list(addresses)
+        self._journal = lines
+        self._calls: dict[int, PendingCall] = {}
+        self._tickets = itertools.count(1)
+        self._outbox: channel.Outbox[wire.FromEntry] = channel.Outbox()
+        self._confirmed_at = -CURRENT_MS
+        self._is_linked = False
+
+    def is_current(self) -> bool:
+        """Return whether the configuration was proved current lately."""
+        age = clock.monotonic_ms() - self._confirmed_at
+        return self.configuration is not None and age < CURRENT_MS
+
+    async def call(
+        self, request: wire.Request, seconds: float
+    ) -> dict[str, Any] | None:
+        """Return the reply to a request, or None when none came in time."""
+        ticket = next(self._tickets)
+        pending = PendingCall(request)
+        self._calls[ticket] = pending
+        self._put(wire.Call(ticket, request))
+        try:
+            with anyio.move_on_after(seconds):
+                await pending.done.wait()
+        finally:
+            self._calls.pop(ticket)
+        return pending.body
+
+    def send(self, message: wire.FromEntry) -> None:
+        """Send a message that nobody waits for; dropped without a leader."""
+        self._put(message)
+
+    async def run(self) -> None:
+        """Dial the replicas for ever, the leader first when it is known."""
+        preferred = ''
+        while True:
+            address = preferred or self._next_address()
+            try:
+                await self._serve_link(address)
+            except* RedirectError as errors:
+                preferred = _first_address(errors)
+            except* ConnectionError:
+                preferred = ''
+            self._is_linked = False
+            await anyio.sleep(_REDIAL_S)
+
+    def _next_address(self) -> str:
+        address = self.addresses.pop(0)
+        self.addresses.append(address)
+        return address
+
+    def _put(self, message: wire.FromEntry) -> None:
+        if self._is_linked:
+            self._outbox.put(message)
+
+    async def _serve_link(self, address: str) -> None:
+        async with channel.dial(address) as dialled:
+            stream = channel.open_stream(
+                dialled, channel.LINK, wire.ToEntryBatch
+            )
+            self._outbox = channel.Outbox()
+            self._is_linked = True
+            for ticket, pending in self._calls.items():
+                self._outbox.put(wire.Call(ticket, pending.request))
+            async with anyio.create_task_group() as group:
+                group.start_soon(self._write, stream)
+                group.start_soon(self._read, stream)
+
+    async def _write(self, stream: ToLeader) -> None:
+        messages: tuple[wire.FromEntry, ...] = ()
+        while True:
+            await stream.send(self._batch((*messages, self._pulse())))
+            messages = await self._outbox.take(channel.PULSE_S)
+
+    async def _read(self, stream: ToLeader) -> None:
+        while True:
+            batch = await stream.receive()
+            self._journal.clock.witness(batch.clock)
+            for message in batch.messages:
+                self._receive(message)
+
+    def _pulse(self) -> wire.EntryPulse:
+        current = self.configuration
+        version = current.version if current else 0
+        return wire.EntryPulse(version, clock.monotonic_ms())
+
+    def _batch(
+        self, messages: tuple[wire.FromEntry, ...]
+    ) -> wire.FromEntryBatch:
+        origin = self._journal.origin
+        return wire.FromEntryBatch(
+            origin.process,
+            origin.data_centre,
+            self._journal.clock.read(),
+            messages,
+        )
+
+    def _receive(self, message: wire.ToEntry) -> None:
+        if isinstance(message, wire.Redirect):
+            raise RedirectError(message.address)
+        if isinstance(message, wire.Reply):
+            self._take_reply(message)
+        elif isinstance(message, wire.LeaderPulse):
+            self._take_pulse(message)
+        elif isinstance(message, wire.ConfigurationChanged):
+            self._take_configuration(message.configuration)
+        elif isinstance(message, wire.MembersChanged):
+            self.addresses = list(message.addresses) or self.addresses
+        elif self.hooks is not None:
+            _take_for_targets(self.hooks, message)
+
+    def _take_reply(self, reply: wire.Reply) -> None:
+        pending = self._calls.get(reply.ticket)
+        if pending is not None:
+            pending.body = reply.body
+            pending.done.set()
+
+    def _take_pulse(self, pulse: wire.LeaderPulse) -> None:
+        current = self.configuration
+        if current is not None and current.version == pulse.version:
+            self._confirmed_at = max(self._confirmed_at, pulse.echo)
+
+    def _take_configuration(
+        self, received: configuration.Configuration
+    ) -> None:
+        # A deposed leader's stream may still deliver an older version.
+        current = self.configuration
+        if current is None or received.version >= current.version:
+            self.configuration = received
+            self._journal.record('configured', f'version {received.version}')
+
+
+def _first_address(errors: BaseExceptionGroup[RedirectError]) -> str:
+    return next(
+        (
+            error.address
+            for error in errors.exceptions
+            if isinstance(error, RedirectError)
+        ),
+        '',
+    )
+
+
+def _take_for_targets(hooks: Hooks, message: wire.ToEntry) -> None:
+    if isinstance(message, wire.Commands):
+        hooks.command(message)
+    elif isinstance(message, wire.Renewed):
+        hooks.renew(message)
+    elif isinstance(message, wire.Gone):
+        hooks.end(message)
--- /dev/null
+++ b/mulberrywalk/replica/__init__.py
@@ -0,0 +1,1 @@
+"""The replica program: consensus, storage and the reducer together."""
--- /dev/null
+++ b/mulberrywalk/replica/leader.py
@@ -0,0 +1,445 @@
+"""What a replica does beyond the log while it leads."""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Callable
+from types import MappingProxyType
+from typing import Any
+
+import anyio
+
+from ..consensus import node, repair
+from ..core import effect, event, identity, outcome
+from ..telemetry import clock, journal, metric
+from ..transport import codec, wire
+from . import delivery, engine, lease, link, view
+
+_ROUND_S = 0.1
+_DISPATCH_MS = 250
+_REPAIR_MS = 1000
+_BACKLOG_LIMIT = 4000
+_RETRY_AFTER_MS = 1000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Policy:
+    """How many voters are wanted and how long a silent one is kept."""
+
+    voters: int
+    repair_after_ms: int
+
+
+class Leader:
+    """Serves the entries, counts leases, carries out effects, repairs."""
+
+    def __init__(
+        self,
+        running: engine.Engine,
+        lines: journal.Journal,
+        metrics: metric.Metrics,
+        policy: Policy,
+    ) -> None:
+        """Prepare; nothing is done before this replica leads."""
+        self.links = link.Links(running, lines, self._receive, self._open)
+        self._engine = running
+        self._journal = lines
+        self._metrics = metrics
+        self._policy = policy
+        self._term = 0
+        self._dispatched_at = 0
+        self._repaired_at = 0
+        self._waiters: dict[identity.JobId, list[tuple[link.Link, int]]] = {}
+        self._begin()
+
+    async def run(self) -> None:
+        """Do the leader's rounds for ever, while this replica leads."""
+        while True:
+            await anyio.sleep(_ROUND_S)
+            if self._engine.is_serving():
+                self._run_round(clock.monotonic_ms())
+
+    def change_role(self) -> None:
+        """Start anew when this replica has begun to lead a term."""
+        running = self._engine.node
+        is_leading = running.role is node.Role.LEADER
+        if is_leading and running.term != self._term:
+            self._term = running.term
+            self._begin()
+        self.links.broadcast(self._members_changed())
+
+    def carry_out(self, effects: list[effect.Effect]) -> None:
+        """Carry out the effects of one applied event."""
+        for effected in effects:
+            handler = self._effects.get(type(effected))
+            if handler is not None:
+                handler(effected)
+
+    def join(self, request: wire.JoinRequest) -> wire.JoinReply:
+        """Admit a replica with an empty disk as a spare."""
+        running = self._engine.node
+        known = running.membership.find(request.member.identity)
+        if not self._engine.is_serving():
+            leader = (
+                running.membership.find(running.leader)
+                if running.leader
+                else None
+            )
+            return wire.JoinReply(
+                known is not None, leader.address if leader else ''
+            )
+        planned = repair.admit(running, request.member)
+        if planned is not None:
+            self._journal.record('spare admitted', request.member.identity)
+            self._engine.enter(node.MembershipProposed(planned))
+        return wire.JoinReply(known is not None, '')
+
+    def _begin(self) -> None:
+        now = clock.monotonic_ms()
+        self._leases = lease.Leases(now)
+        self._delivery = delivery.Delivery(
+            self._engine, self.links, self._leases
+        )
+        self._waiters.clear()
+        self._effects: MappingProxyType[Any, Callable[..., None]] = (
+            MappingProxyType(
+                {
+                    effect.StartAttempt: self._start,
+                    effect.StopAttempt: self._stop,
+                    effect.ThrottleAttempt: self._throttle,
+                    effect.AcknowledgeEnds: self._delivery.acknowledge,
+                    effect.EndSession: self._end_session,
+                    effect.ReportJobEnd: self._report_job_end,
+                    effect.PublishConfiguration: self._publish,
+                    effect.Trace: self._trace,
+                }
+            )
+        )
+
+    def _run_round(self, now: int) -> None:
+        tables = self._engine.tables
+        expired = self._leases.expire(list(tables.sessions), now)
+        for session in expired:
+            self._engine.propose(
+                event.SessionExpired(clock.wall_ms(), session), _ignore
+            )
+        self._delivery.resend(now)
+        self._dispatch_when_due(now)
+        if now - self._repaired_at >= _REPAIR_MS:
+            self._repaired_at = now
+            self._repair()
+            self._gauge()
+
+    def _dispatch_when_due(self, now: int) -> None:
+        waiting = self._engine.tables.waiting
+        is_due = bool(waiting.queues) or self._is_timer_due()
+        if is_due and now - self._dispatched_at >= _DISPATCH_MS:
+            self._dispatched_at = now
+            self._engine.request_dispatch()
+
+    def _is_timer_due(self) -> bool:
+        tables = self._engine.tables
+        wall = clock.wall_ms()
+        document = tables.configuration.document
+        oldest = wall - document.finished_retention_ms
+        delayed = tables.waiting.delayed
+        return bool(
+            (delayed and delayed[0][0] <= wall)
+            or (tables.quarantined and tables.quarantined[0][0] <= wall)
+            or (tables.finished and tables.finished[0][0] < oldest)
+        )
+
+    def _repair(self) -> None:
+        planned = repair.plan(
+            self._engine.node,
+            voters=self._policy.voters,
+            patience_ms=self._policy.repair_after_ms,
+        )
+        if planned is not None:
+            listed = ', '.join(planned.voters())
+            self._journal.record('membership proposed', f'voters {listed}')
+            self._engine.enter(node.MembershipProposed(planned))
+
+    def _gauge(self) -> None:
+        tables = self._engine.tables
+        self._metrics.gauge('attempts', len(tables.attempts))
+        self._metrics.gauge('sessions', len(tables.sessions))
+        self._metrics.gauge('waiting', sum(tables.waiting.counts.values()))
+        self._metrics.gauge('backlog', self._engine.backlog())
+
+    def _open(self, opened: link.Link) -> None:
+        opened.send(self._members_changed())
+        opened.send(
+            wire.ConfigurationChanged(self._engine.tables.configuration)
+        )
+        self._journal.record('entry linked', opened.process)
+
+    def _members_changed(self) -> wire.MembersChanged:
+        members = self._engine.node.membership.members
+        return wire.MembersChanged(tuple(one.address for one in members))
+
+    def _receive(self, origin: link.Link, received: wire.FromEntry) -> None:
+        if not self._engine.is_serving():
+            return
+        if isinstance(received, wire.Call):
+            _REQUESTS[type(received.request)](
+                self, origin, received.ticket, received.request
+            )
+        elif isinstance(received, wire.Renewals):
+            self._renew(origin, received)
+        elif isinstance(received, wire.Report):
+            self._propose_report(origin, received)
+        elif isinstance(received, wire.Departure):
+            self._engine.propose(
+                event.DepartureAnnounced(clock.wall_ms(), received.session),
+                _ignore,
+            )
+        else:
+            origin.version = received.version
+            origin.pulse_sent_at = received.sent_at
+
+    def _renew(self, origin: link.Link, received: wire.Renewals) -> None:
+        now = clock.monotonic_ms()
+        sessions = self._engine.tables.sessions
+        renewed: list[tuple[identity.SessionId, int]] = []
+        gone: list[identity.SessionId] = []
+        for session, count in received.sessions:
+            if session not in sessions:
+                gone.append(session)
+            elif not self._leases.is_expiring(session):
+                renewed.append((session, count))
+                if self._leases.renew(session, origin.process, now):
+                    self._delivery.resend_session(session, now)
+        if renewed:
+            origin.send(wire.Renewed(tuple(renewed)))
+        if gone:
+            origin.send(wire.Gone(tuple(gone)))
+
+    def _propose_report(self, origin: link.Link, received: wire.Report) -> None:
+        self._engine.propose(
+            event.ReportReceived(
+                clock.wall_ms(),
+                received.session,
+                received.started,
+                received.ended,
+                received.usage,
+            ),
+            lambda told: self._tell_gone(origin, received.session, told),
+        )
+
+    def _tell_gone(
+        self,
+        origin: link.Link,
+        session: identity.SessionId,
+        told: outcome.Outcome | None,
+    ) -> None:
+        if isinstance(told, outcome.NotRun):
+            origin.send(wire.Gone((session,)))
+
+    def _propose(
+        self, origin: link.Link, ticket: int, occurred: event.Event
+    ) -> None:
+        self._engine.propose(
+            occurred, lambda told: _reply_outcome(origin, ticket, told)
+        )
+
+    def submit(
+        self, origin: link.Link, ticket: int, request: wire.Submit
+    ) -> None:
+        """Propose a job, or refuse it at once under overload."""
+        if self._engine.backlog() > _BACKLOG_LIMIT:
+            self._metrics.incr('refused_overload')
+            refusal = outcome.NotRun(
+                outcome.RefusalReason.QUEUE_FULL,
+                'the leader has too many events to decide',
+                _RETRY_AFTER_MS,
+            )
+            _reply_outcome(origin, ticket, refusal)
+            return
+        self._metrics.incr('submitted')
+        self._propose(
+            origin,
+            ticket,
+            event.JobSubmitted(
+                clock.wall_ms(), request.specification, request.digest
+            ),
+        )
+
+    def cancel(
+        self, origin: link.Link, ticket: int, request: wire.Cancel
+    ) -> None:
+        """Propose the cancellation of a job."""
+        occurred = event.JobCancelled(clock.wall_ms(), request.job)
+        self._propose(origin, ticket, occurred)
+
+    def patch(
+        self,
+        origin: link.Link,
+        ticket: int,
+        request: wire.PatchConfiguration,
+    ) -> None:
+        """Propose a patch of the configuration."""
+        self._propose(
+            origin,
+            ticket,
+            event.ConfigurationPatched(
+                clock.wall_ms(),
+                request.request_id,
+                request.version,
+                request.changes,
+            ),
+        )
+
+    def open_session(
+        self, origin: link.Link, ticket: int, request: wire.OpenSession
+    ) -> None:
+        """Propose the session of a target that has announced itself."""
+        occurred = event.SessionOpened(clock.wall_ms(), request.announcement)
+        self._engine.propose(
+            occurred, lambda told: self._grant(origin, ticket, told)
+        )
+
+    def get_job(
+        self, origin: link.Link, ticket: int, request: wire.GetJob
+    ) -> None:
+        """Answer with a job, at its end when that is waited for."""
+        record = self._engine.tables.jobs.get(request.job)
+        if record is None:
+            _reply_not_found(origin, ticket, request.job)
+        elif request.is_waiting and record.unfinished:
+            waiters = self._waiters.setdefault(request.job, [])
+            waiters.append((origin, ticket))
+        else:
+            shown = view.show_job(self._engine.tables, record)
+            _reply(origin, ticket, {codec.TAG: 'job', **shown})
+
+    def explain(
+        self, origin: link.Link, ticket: int, request: wire.Explain
+    ) -> None:
+        """Answer why a job waits or where it ran."""
+        record = self._engine.tables.jobs.get(request.job)
+        if record is None:
+            _reply_not_found(origin, ticket, request.job)
+            return
+        explained = view.explain_job(self._engine.tables, record)
+        _reply(origin, ticket, {codec.TAG: 'explanation', **explained})
+
+    def get_configuration(
+        self,
+        origin: link.Link,
+        ticket: int,
+        request: wire.GetConfiguration,
+    ) -> None:
+        """Answer with the configuration and each process's version."""
+        current = self._engine.tables.configuration
+        shown = view.show_configuration(current)
+        reach = {one.process: one.version for one in self.links.open.values()}
+        reach[self._journal.origin.process] = current.version
+        _reply(
+            origin,
+            ticket,
+            {codec.TAG: 'configuration', **shown, 'reach': reach},
+        )
+
+    def get_members(
+        self, origin: link.Link, ticket: int, request: wire.GetMembers
+    ) -> None:
+        """Answer with the replicas and the entries that are linked."""
+        shown = view.show_members(self._engine.node)
+        entries = [
+            {'process': one.process, 'data_centre': one.data_centre}
+            for _, one in sorted(self.links.open.items())
+        ]
+        _reply(
+            origin, ticket, {codec.TAG: 'members', **shown, 'entries': entries}
+        )
+
+    def get_targets(
+        self, origin: link.Link, ticket: int, request: wire.GetTargets
+    ) -> None:
+        """Answer with all targets."""
+        shown = view.show_targets(self._engine.tables)
+        _reply(origin, ticket, {codec.TAG: 'targets', 'targets': shown})
+
+    def _grant(
+        self, origin: link.Link, ticket: int, told: outcome.Outcome | None
+    ) -> None:
+        if isinstance(told, outcome.SessionGranted):
+            now = clock.monotonic_ms()
+            self._leases.renew(told.session, origin.process, now)
+        _reply_outcome(origin, ticket, told)
+
+    def _start(self, effected: effect.StartAttempt) -> None:
+        self._metrics.incr('starts')
+        attempt = effected.attempt
+        task = self._engine.tables.tasks[attempt.task]
+        self._metrics.timing('wait', attempt.placed_at - task.waiting_since)
+        self._delivery.start(attempt, clock.monotonic_ms())
+
+    def _stop(self, effected: effect.StopAttempt) -> None:
+        self._delivery.stop(effected.attempt, clock.monotonic_ms())
+
+    def _throttle(self, effected: effect.ThrottleAttempt) -> None:
+        self._delivery.throttle(effected.attempt)
+
+    def _end_session(self, effected: effect.EndSession) -> None:
+        entry = self._leases.entry_of(effected.session)
+        self.links.send(entry, wire.Gone((effected.session,)))
+        self._leases.forget(effected.session)
+
+    def _report_job_end(self, effected: effect.ReportJobEnd) -> None:
+        for origin, ticket in self._waiters.pop(effected.job, []):
+            self.get_job(origin, ticket, wire.GetJob(effected.job))
+
+    def _publish(self, effected: effect.PublishConfiguration) -> None:
+        current = self._engine.tables.configuration
+        self.links.broadcast(wire.ConfigurationChanged(current))
+
+    def _trace(self, effected: effect.Trace) -> None:
+        self._journal.record(
+            effected.what,
+            effected.detail,
+            job=effected.job,
+            task=effected.task,
+            attempt=effected.attempt,
+            target=effected.target,
+        )
+
+
+_REQUESTS: MappingProxyType[Any, Callable[..., None]] = MappingProxyType(
+    {
+        wire.Submit: Leader.submit,
+        wire.Cancel: Leader.cancel,
+        wire.GetJob: Leader.get_job,
+        wire.Explain: Leader.explain,
+        wire.PatchConfiguration: Leader.patch,
+        wire.GetConfiguration: Leader.get_configuration,
+        wire.GetMembers: Leader.get_members,
+        wire.GetTargets: Leader.get_targets,
+        wire.OpenSession: Leader.open_session,
+    }
+)
+
+
+def _ignore(told: outcome.Outcome | None) -> None:
+    """Take an outcome that nobody waits for."""
+
+
+def _reply(origin: link.Link, ticket: int, body: dict[str, Any]) -> None:
+    origin.send(wire.Reply(ticket, body))
+
+
+def _reply_outcome(
+    origin: link.Link, ticket: int, told: outcome.Outcome | None
+) -> None:
+    # Nothing is said when the outcome is open: the entry asks the next
+    # leader again under the same request id.
+    if told is not None:
+        _reply(origin, ticket, codec.to_builtins(told))
+
+
+def _reply_not_found(
+    origin: link.Link, ticket: int, name: identity.JobId
+) -> None:
+    refusal = outcome.NotRun(outcome.RefusalReason.NOT_FOUND, f'no job {name}')
+    _reply_outcome(origin, ticket, refusal)
--- /dev/null
+++ b/mulberrywalk/replica/link.py
@@ -0,0 +1,127 @@
+"""The streams of the entries, as the leader holds them."""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Callable
+from typing import Any
+
+import anyio
+
+from ..telemetry import journal
+from ..transport import channel, wire
+from . import engine
+
+FromStream = channel.Stream[wire.ToEntryBatch, wire.FromEntryBatch]
+
+
+@dataclasses.dataclass(slots=True)
+class Link:
+    """One entry's stream; version is the configuration that it applies."""
+
+    process: str
+    data_centre: str
+    outbox: channel.Outbox[wire.ToEntry] = dataclasses.field(
+        default_factory=channel.Outbox
+    )
+    version: int = 0
+    pulse_sent_at: int = 0
+
+    def send(self, message: wire.ToEntry) -> None:
+        """Queue a message for the entry."""
+        self.outbox.put(message)
+
+
+class Links:
+    """All entries that are linked to this replica while it leads."""
+
+    def __init__(
+        self,
+        running: engine.Engine,
+        lines: journal.Journal,
+        received: Callable[[Link, wire.FromEntry], None],
+        opened: Callable[[Link], None],
+    ) -> None:
+        """Hand each message to received, each new link to opened."""
+        self.open: dict[str, Link] = {}
+        self._engine = running
+        self._journal = lines
+        self._received = received
+        self._opened = opened
+
+    def send(self, process: str, message: wire.ToEntry) -> None:
+        """Queue a message for an entry; dropped when it is not linked."""
+        link = self.open.get(process)
+        if link is not None:
+            link.send(message)
+
+    def broadcast(self, message: wire.ToEntry) -> None:
+        """Queue a message for all entries."""
+        for link in self.open.values():
+            link.send(message)
+
+    async def accept(self, context: Any) -> None:
+        """Serve an entry until either end closes or falls silent."""
+        stream: FromStream = channel.Stream(context, wire.FromEntryBatch)
+        try:
+            first = await stream.receive()
+        except ConnectionError:
+            return
+        if not self._engine.is_serving():
+            await self._redirect(stream)
+            return
+        link = Link(first.process, first.data_centre)
+        self.open[link.process] = link
+        self._opened(link)
+        try:
+            async with anyio.create_task_group() as group:
+                group.start_soon(self._read, stream, link, first)
+                group.start_soon(self._write, stream, link)
+        except* ConnectionError:
+            self._journal.warn(f'the link of {link.process} has closed')
+        finally:
+            if self.open.get(link.process) is link:
+                self.open.pop(link.process)
+
+    async def _read(
+        self, stream: FromStream, link: Link, first: wire.FromEntryBatch
+    ) -> None:
+        batch = first
+        while True:
+            self._journal.clock.witness(batch.clock)
+            for message in batch.messages:
+                self._received(link, message)
+            batch = await stream.receive()
+
+    async def _write(self, stream: FromStream, link: Link) -> None:
+        while True:
+            messages = await link.outbox.take(channel.PULSE_S)
+            if not self._engine.is_serving():
+                await self._redirect(stream)
+                raise ConnectionError('this replica leads no more')
+            version = self._engine.tables.configuration.version
+            await stream.send(
+                self._batch(
+                    (
+                        *messages,
+                        wire.LeaderPulse(version, link.pulse_sent_at),
+                    )
+                )
+            )
+
+    async def _redirect(self, stream: FromStream) -> None:
+        leader = self._engine.node.leader
+        member = self._engine.node.membership.find(leader) if leader else None
+        is_other = member is not None and leader != self._engine.node.identity
+        address = member.address if member and is_other else ''
+        try:
+            await stream.send(self._batch((wire.Redirect(address),)))
+        except ConnectionError:
+            return
+
+    def _batch(self, messages: tuple[wire.ToEntry, ...]) -> wire.ToEntryBatch:
+        return wire.ToEntryBatch(
+            self._journal.origin.process,
+            self._journal.clock.read(),
+            messages,
+        )
--- /dev/null
+++ b/mulberrywalk/replica/peer.py
@@ -0,0 +1,96 @@
+"""Streams that carry consensus messages to the other replicas."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import anyio
+import anyio.abc
+
+from ..consensus import message, node
+from ..telemetry import journal
+from ..transport import channel, wire
+from . import engine
+
+_REDIAL_S = 0.1
+# Appends beyond this are dropped and sent again by the consensus.
+_OUTBOX_LIMIT = 1000
+
+
+class Peers:
+    """One outgoing stream to each other replica; incoming ones are served."""
+
+    def __init__(
+        self,
+        running: engine.Engine,
+        lines: journal.Journal,
+        group: anyio.abc.TaskGroup,
+    ) -> None:
+        """Prepare; streams are dialled as messages are first sent."""
+        self._engine = running
+        self._journal = lines
+        self._group = group
+        self._outboxes: dict[str, channel.Outbox[message.Message]] = {}
+        self._scopes: dict[str, anyio.CancelScope] = {}
+
+    def send(self, receiver: message.ReplicaId, body: message.Message) -> None:
+        """Queue a message; it is dropped when the receiver is unknown."""
+        member = self._engine.node.membership.find(receiver)
+        if member is None:
+            return
+        key = f'{receiver}@{member.address}'
+        if key not in self._outboxes:
+            self._outboxes[key] = channel.Outbox(_OUTBOX_LIMIT)
+            self._group.start_soon(self._serve_outbox, key, member.address)
+        self._outboxes[key].put(body)
+
+    def forget_removed(self) -> None:
+        """Close the streams to replicas that are members no more."""
+        kept = {
+            f'{one.identity}@{one.address}'
+            for one in self._engine.node.membership.members
+        }
+        for key in [one for one in self._outboxes if one not in kept]:
+            self._outboxes.pop(key)
+            scope = self._scopes.pop(key, None)
+            if scope is not None:
+                scope.cancel()
+
+    async def accept(self, context: Any) -> None:
+        """Serve the stream of another replica until it falls silent."""
+        stream: channel.Stream[wire.PeerBatch, wire.PeerBatch]
+        stream = channel.Stream(context, wire.PeerBatch)
+        try:
+            while True:
+                batch = await stream.receive()
+                self._journal.clock.witness(batch.clock)
+                for body in batch.messages:
+                    self._engine.enter(node.Received(batch.sender, body))
+                await stream.send(self._batch(()))
+        except ConnectionError:
+            return
+
+    async def _serve_outbox(self, key: str, address: str) -> None:
+        with anyio.CancelScope() as scope:
+            self._scopes[key] = scope
+            while True:
+                try:
+                    await self._feed(self._outboxes[key], address)
+                except ConnectionError:
+                    await anyio.sleep(_REDIAL_S)
+
+    async def _feed(
+        self, outbox: channel.Outbox[message.Message], address: str
+    ) -> None:
+        async with channel.dial(address) as dialled:
+            stream = channel.open_stream(dialled, channel.PEER, wire.PeerBatch)
+            while True:
+                taken = await outbox.take(channel.PULSE_S)
+                await stream.send(self._batch(taken))
+                reply = await stream.receive()
+                self._journal.clock.witness(reply.clock)
+
+    def _batch(self, messages: tuple[message.Message, ...]) -> wire.PeerBatch:
+        return wire.PeerBatch(
+            self._engine.node.identity, self._journal.clock.read(), messages
+        )
--- /dev/null
+++ b/mulberrywalk/replica/view.py
@@ -0,0 +1,208 @@
+"""Answers to questions about the state, as plain data for JSON."""
+
+from __future__ import annotations
+
+import collections
+from typing import Any
+
+import msgspec
+
+from ..consensus import message, node
+from ..core import (
+    configuration,
+    dispatch,
+    fleet,
+    identity,
+    job,
+    lifecycle,
+    resource,
+    state,
+)
+
+
+def show_job(tables: state.State, record: job.Job) -> dict[str, Any]:
+    """Return a job with its tasks; a whole answer once it has ended."""
+    tasks = lifecycle.tasks_of(tables, record)
+    return {
+        'job': record.job,
+        'request_id': record.specification.request_id,
+        'team': record.specification.team,
+        'kind': record.specification.kind.value,
+        'urgency': record.specification.urgency.value,
+        'state': record.state.value,
+        'submitted_at': record.submitted_at,
+        'ended_at': record.ended_at,
+        'is_cancelled': record.is_cancelled,
+        'tasks': [_show_task(tables, task) for task in tasks],
+    }
+
+
+def explain_job(tables: state.State, record: job.Job) -> dict[str, Any]:
+    """Return why the tasks of a job wait, or where they ran and why."""
+    tasks = lifecycle.tasks_of(tables, record)
+    return {
+        'job': record.job,
+        'state': record.state.value,
+        'tasks': [
+            {
+                'task': task.task,
+                'state': task.state.value,
+                'waiting': _explain_waiting(tables, task),
+                'attempts': msgspec.to_builtins(task.history),
+                'current': _show_attempt(tables, task),
+            }
+            for task in tasks
+        ],
+    }
+
+
+def show_targets(tables: state.State) -> list[dict[str, Any]]:
+    """Return all targets with what is free and how they are doing."""
+    return [
+        {
+            'target': record.target,
+            'data_centre': record.data_centre,
+            'rack': record.rack,
+            'session': record.session,
+            'is_leaving': record.is_leaving,
+            'quarantined_until': record.health.until,
+            'attempts': len(tables.fleet.cells[record.target].attempts),
+            'capacity': msgspec.to_builtins(record.capacity),
+            'free': msgspec.to_builtins(tables.fleet.cells[record.target].free),
+        }
+        for _, record in sorted(tables.targets.items())
+    ]
+
+
+def _show_task(tables: state.State, task: job.Task) -> dict[str, Any]:
+    return {
+        'task': task.task,
+        'state': task.state.value,
+        'attempts': task.attempts,
+        'started_at': task.first_started_at,
+        'ended_at': task.ended_at,
+        'answer': task.answer,
+        **_show_attempt(tables, task),
+    }
+
+
+def _show_attempt(tables: state.State, task: job.Task) -> dict[str, Any]:
+    if task.attempt is None:
+        return {}
+    attempt = tables.attempts[task.attempt]
+    return {'attempt': attempt.attempt, 'target': attempt.target}
+
+
+def _explain_waiting(
+    tables: state.State, task: job.Task
+) -> dict[str, Any] | None:
+    if task.state is not job.TaskState.WAITING:
+        return None
+    demand = tables.task_specification(task).demand()
+    ruled_out = _count_ruled_out(tables, demand)
+    return {
+        'reason': _waiting_reason(tables, task),
+        'since': task.waiting_since,
+        'not_before': task.not_before,
+        'limiting': _limiting(tables, task, demand),
+        'targets': len(tables.fleet.cells),
+        'ruled_out': ruled_out,
+    }
+
+
+def _waiting_reason(tables: state.State, task: job.Task) -> str:
+    if task.task in tables.waiting.aside:
+        return 'no target is large enough, however empty'
+    if task.not_before > tables.time:
+        return 'a retry is delayed'
+    team = tables.specification(task).team
+    if dispatch.is_over_quota(tables, team):
+        return 'the team uses its whole quota'
+    if not tables.fleet.cells:
+        return 'there are no targets'
+    if tables.specification(task).kind is job.Kind.GANG:
+        return 'the targets do not hold all tasks at once'
+    return 'no target has enough free'
+
+
+def _limiting(
+    tables: state.State, task: job.Task, demand: resource.Resources
+) -> list[str]:
+    """Return the resources that most targets lack."""
+    is_aside = task.task in tables.waiting.aside
+    lacking = collections.Counter(
+        name
+        for cell in tables.fleet.cells.values()
+        for name in resource.lacking(
+            demand, cell.capacity if is_aside else cell.free
+        )
+    )
+    return [name for name, _ in lacking.most_common()]
+
+
+def _count_ruled_out(
+    tables: state.State, demand: resource.Resources
+) -> dict[str, int]:
+    """Return how many targets each condition rules out."""
+    conditions = collections.Counter(
+        condition
+        for cell in tables.fleet.cells.values()
+        for condition in _conditions(tables, cell, demand)
+    )
+    return dict(sorted(conditions.items()))
+
+
+def _conditions(
+    tables: state.State, cell: fleet.Cell, demand: resource.Resources
+) -> list[str]:
+    record = tables.targets[identity.TargetId(cell.target)]
+    conditions = resource.lacking(demand, cell.free)
+    if record.session is None:
+        conditions.append('no_session')
+    if record.is_leaving:
+        conditions.append('leaving')
+    if record.health.until > tables.time:
+        conditions.append('quarantined')
+    if cell.is_probed and cell.attempts:
+        conditions.append('on_probation')
+    if cell.reserved_for is not None:
+        conditions.append('reserved_for_gang')
+    return conditions
+
+
+def show_configuration(
+    current: configuration.Configuration,
+) -> dict[str, Any]:
+    """Return a configuration with its version."""
+    shown: dict[str, Any] = msgspec.to_builtins(current)
+    return shown
+
+
+def show_members(running: node.Node) -> dict[str, Any]:
+    """Return the replicas as the leader sees them."""
+    return {
+        'leader': running.leader,
+        'term': running.term,
+        'commit_index': running.commit_index,
+        'replicas': [
+            {
+                'identity': member.identity,
+                'address': member.address,
+                'data_centre': member.data_centre,
+                'voter': member.voter,
+                'match_index': _match_index(running, member),
+                'silent_ms': _silent_ms(running, member),
+            }
+            for member in running.membership.members
+        ],
+    }
+
+
+def _match_index(running: node.Node, member: message.Member) -> int:
+    progress = running.progress.get(member.identity)
+    return progress.match_index if progress else running.synced_index
+
+
+def _silent_ms(running: node.Node, member: message.Member) -> int:
+    progress = running.progress.get(member.identity)
+    return running.now - progress.acknowledged_at if progress else 0
--- /dev/null
+++ b/mulberrywalk/storage/__init__.py
@@ -0,0 +1,1 @@
+"""Durable files: write-ahead log, snapshots and identity."""
--- /dev/null
+++ b/mulberrywalk/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Logs, metrics, the time line and checked settings of every program."""
--- /dev/null
+++ b/mulberrywalk/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Command line, load generation and the merged time line."""
--- /dev/null
+++ b/mulberrywalk/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between processes and the channels that carry them."""
--- /dev/null
+++ b/mulberrywalk/transport/wire.py
@@ -0,0 +1,257 @@
+"""Messages between entries and replicas, and between replicas."""
+
+from __future__ import annotations
+
+from typing import Any, TypeAlias
+
+import msgspec
+
+from ..consensus import message
+from ..core import configuration, event, identity, job
+from ..telemetry import journal
+
+
+class Submit(msgspec.Struct, frozen=True, tag=True):
+    """Submit a job."""
+
+    specification: job.Specification
+    digest: str
+
+
+class Cancel(msgspec.Struct, frozen=True, tag=True):
+    """Cancel a job."""
+
+    job: identity.JobId
+
+
+class GetJob(msgspec.Struct, frozen=True, tag=True):
+    """Read a job; answered at its end when is_waiting."""
+
+    job: identity.JobId
+    is_waiting: bool = False
+
+
+class Explain(msgspec.Struct, frozen=True, tag=True):
+    """Ask why a job waits or where it ran."""
+
+    job: identity.JobId
+
+
+class PatchConfiguration(msgspec.Struct, frozen=True, tag=True):
+    """Patch the configuration of the version named."""
+
+    request_id: str
+    version: int
+    changes: dict[str, Any]
+
+
+class GetConfiguration(msgspec.Struct, frozen=True, tag=True):
+    """Read the configuration and which version each process has."""
+
+
+class GetMembers(msgspec.Struct, frozen=True, tag=True):
+    """Read the replicas and the entries that the leader knows."""
+
+
+class GetTargets(msgspec.Struct, frozen=True, tag=True):
+    """Read the targets with what is free on them."""
+
+
+class OpenSession(msgspec.Struct, frozen=True, tag=True):
+    """Open a session for a target."""
+
+    announcement: event.Announcement
+
+
+Request: TypeAlias = (
+    Submit
+    | Cancel
+    | GetJob
+    | Explain
+    | PatchConfiguration
+    | GetConfiguration
+    | GetMembers
+    | GetTargets
+    | OpenSession
+)
+
+
+class Call(msgspec.Struct, frozen=True, tag=True):
+    """A request and the ticket that its reply will carry."""
+
+    ticket: int
+    request: Request
+
+
+class Renewals(msgspec.Struct, frozen=True, tag=True):
+    """Sessions whose targets asked to renew, with their own counts."""
+
+    sessions: tuple[tuple[identity.SessionId, int], ...]
+
+
+class Report(msgspec.Struct, frozen=True, tag=True):
+    """Starts, ends and usage that a target reports."""
+
+    session: identity.SessionId
+    started: tuple[event.AttemptStart, ...] = ()
+    ended: tuple[event.AttemptEnd, ...] = ()
+    usage: tuple[event.AttemptUsage, ...] = ()
+
+
+class Departure(msgspec.Struct, frozen=True, tag=True):
+    """A target is leaving; said again until its session shows it."""
+
+    session: identity.SessionId
+
+
+class EntryPulse(msgspec.Struct, frozen=True, tag=True):
+    """An entry is alive and applies this version of the configuration.
+
+    sent_at is the entry's monotonic clock in milliseconds.
+    """
+
+    version: int
+    sent_at: int
+
+
+FromEntry: TypeAlias = Call | Renewals | Report | Departure | EntryPulse
+
+
+class FromEntryBatch(msgspec.Struct, frozen=True):
+    """What an entry sends at once; clock is a hybrid logical stamp."""
+
+    process: str
+    data_centre: str
+    clock: int
+    messages: tuple[FromEntry, ...]
+
+
+class Reply(msgspec.Struct, frozen=True, tag=True):
+    """The answer to a call, plain data with an outcome tag."""
+
+    ticket: int
+    body: dict[str, Any]
+
+
+class StartCommand(msgspec.Struct, frozen=True):
+    """Start an attempt; checkpoint is what an earlier attempt left."""
+
+    attempt: identity.AttemptId
+    task: identity.TaskId
+    millicores: int
+    memory_bytes: int
+    accelerators: int
+    estimate_ms: int
+    payload: str
+    checkpoint: str = ''
+
+
+class StopCommand(msgspec.Struct, frozen=True):
+    """Stop an attempt; is_checkpointed asks it to save its progress."""
+
+    attempt: identity.AttemptId
+    is_checkpointed: bool
+
+
+class Commands(msgspec.Struct, frozen=True, tag=True):
+    """What the target of a session is to do."""
+
+    session: identity.SessionId
+    start: tuple[StartCommand, ...] = ()
+    stop: tuple[StopCommand, ...] = ()
+    throttle: tuple[identity.AttemptId, ...] = ()
+    acknowledge: tuple[identity.AttemptId, ...] = ()
+
+
+class Renewed(msgspec.Struct, frozen=True, tag=True):
+    """Renewals that the leader has received while its lease held."""
+
+    sessions: tuple[tuple[identity.SessionId, int], ...]
+
+
+class Gone(msgspec.Struct, frozen=True, tag=True):
+    """Sessions that have ended: their targets stop all they run."""
+
+    sessions: tuple[identity.SessionId, ...]
+
+
+class LeaderPulse(msgspec.Struct, frozen=True, tag=True):
+    """The leader's lease holds and this version is in force.
+
+    echo is the sent_at of the latest pulse that the entry has sent: the entry
+    counts from then, so that a pulse that lay in a buffer proves nothing.
+    """
+
+    version: int
+    echo: int
+
+
+class ConfigurationChanged(msgspec.Struct, frozen=True, tag=True):
+    """The configuration that is in force from now on."""
+
+    configuration: configuration.Configuration
+
+
+class MembersChanged(msgspec.Struct, frozen=True, tag=True):
+    """Where the replicas listen."""
+
+    addresses: tuple[str, ...]
+
+
+class Redirect(msgspec.Struct, frozen=True, tag=True):
+    """This replica does not lead; address is the leader's, or empty."""
+
+    address: str
+
+
+ToEntry: TypeAlias = (
+    Reply
+    | Commands
+    | Renewed
+    | Gone
+    | LeaderPulse
+    | ConfigurationChanged
+    | MembersChanged
+    | Redirect
+)
+
+
+class ToEntryBatch(msgspec.Struct, frozen=True):
+    """What a replica sends to an entry at once."""
+
+    process: str
+    clock: int
+    messages: tuple[ToEntry, ...]
+
+
+class PeerBatch(msgspec.Struct, frozen=True):
+    """Consensus messages from one replica; empty as a heartbeat."""
+
+    sender: message.ReplicaId
+    clock: int
+    messages: tuple[message.Message, ...]
+
+
+class JoinRequest(msgspec.Struct, frozen=True):
+    """A replica with an empty disk asks to be admitted as a spare."""
+
+    member: message.Member
+
+
+class JoinReply(msgspec.Struct, frozen=True):
+    """Whether the spare was admitted; leader is where to ask instead."""
+
+    is_admitted: bool
+    leader: str
+
+
+class TimelineRequest(msgspec.Struct, frozen=True):
+    """Ask a replica for the lines that it keeps."""
+
+    wanted: journal.Filter
+
+
+class TimelineReply(msgspec.Struct, frozen=True):
+    """The lines that match."""
+
+    lines: tuple[journal.Line, ...]
