--- /dev/null
+++ b/demo/audit.py
@@ -0,0 +1,128 @@
+"""Reads what the targets really ran and checks it."""
+
+from __future__ import annotations
+
+import dataclasses
+import itertools
+import json
+import pathlib
+from collections.abc import Iterable
+
+NEVER = 4_611_686_018_427_387_904
+
+
+@dataclasses.dataclass(frozen=True)
+class Run:
+    """One attempt as its target saw it; times are monotonic ms."""
+
+    attempt: str
+    target: str
+    started_at: int
+    ended_at: int
+    millicores: int
+    memory_bytes: int
+
+    @property
+    def task(self) -> str:
+        """Return the task of the attempt."""
+        return self.attempt.split('/')[0]
+
+    @property
+    def job(self) -> str:
+        """Return the job of the attempt."""
+        return self.attempt.split('.')[0]
+
+
+@dataclasses.dataclass(frozen=True)
+class Capacity:
+    """What one target can hold at a time."""
+
+    millicores: int
+    slots: int
+    memory_bytes: int
+
+
+def read(path: pathlib.Path, killed: dict[str, int]) -> list[Run]:
+    """Return the runs of a history; killed says when targets were killed.
+
+    A run without an end lasted until its target was killed, or goes on.
+    """
+    lines = [json.loads(line) for line in path.read_text().splitlines()]
+    ends = {
+        (line['target'], line['attempt']): line['at']
+        for line in lines
+        if line['what'] == 'end'
+    }
+    return [
+        Run(
+            attempt=line['attempt'],
+            target=line['target'],
+            started_at=line['at'],
+            ended_at=ends.get(
+                (line['target'], line['attempt']),
+                killed.get(line['target'], NEVER),
+            ),
+            millicores=line['millicores'],
+            memory_bytes=line['memory_bytes'],
+        )
+        for line in lines
+        if line['what'] == 'start'
+    ]
+
+
+def check_overlaps(runs: Iterable[Run]) -> list[str]:
+    """Return the tasks that ran in two places at once, or one run twice."""
+    ordered = sorted(runs, key=lambda run: (run.task, run.started_at))
+    faults: list[str] = []
+    for task, group in itertools.groupby(ordered, key=lambda run: run.task):
+        own = list(group)
+        faults.extend(
+            f'{task} ran on {left.target} and {right.target} at once'
+            for left, right in itertools.pairwise(own)
+            if right.started_at < left.ended_at
+        )
+        names = [run.attempt for run in own]
+        if len(names) > len(set(names)):
+            faults.append(f'an attempt of {task} was run twice')
+    return faults
+
+
+def check_capacity(runs: Iterable[Run], capacity: Capacity) -> list[str]:
+    """Return the targets that were given more than they can hold."""
+    ordered = sorted(runs, key=lambda run: run.target)
+    faults: list[str] = []
+    for target, group in itertools.groupby(ordered, key=lambda run: run.target):
+        peak = _peak(list(group))
+        if (
+            peak.millicores > capacity.millicores
+            or peak.slots > capacity.slots
+            or peak.memory_bytes > capacity.memory_bytes
+        ):
+            faults.append(f'{target} was given {peak}')
+    return faults
+
+
+def _peak(runs: list[Run]) -> Capacity:
+    # Ends come before starts of the same millisecond: such a start was
+    # decided after the end was known.
+    changes = sorted(
+        [(run.ended_at, 0, -1, run) for run in runs]
+        + [(run.started_at, 1, 1, run) for run in runs],
+        key=lambda change: change[:2],
+    )
+    millicores = list(
+        itertools.accumulate(
+            sign * run.millicores for _, _, sign, run in changes
+        )
+    )
+    slots = list(itertools.accumulate(sign for _, _, sign, _ in changes))
+    memory = list(
+        itertools.accumulate(
+            sign * run.memory_bytes for _, _, sign, run in changes
+        )
+    )
+    return Capacity(
+        max(millicores, default=0),
+        max(slots, default=0),
+        max(memory, default=0),
+    )
--- a/demo/cell.py
+++ b/demo/cell.py
@@ -17,11 +17,17 @@
 
 import httpx
 
+from demo import audit, runner
+
 DATA_CENTRES = ('doto-kushiro', 'doto-obihiro', 'doto-nemuro')
 RACK_SIZE = 8
+CAPACITY = audit.Capacity(
+    millicores=16_000, slots=8, memory_bytes=34_359_738_368
+)
 READY_S = 40.0
 _POLL_S = 0.1
 _STOP_S = 10.0
+_ANSWER_S = 15
 
 
 class CellError(Exception):
@@ -59,7 +65,7 @@
         self.signal(signal.SIGKILL)
         if self.running is not None:
             self.running.wait()
-        self.killed_at = time.monotonic_ns() // 1_000_000
+        self.killed_at = runner.monotonic_ms()
 
     def stop(self, seconds: float = _STOP_S) -> int:
         """End the process in order; returns its exit code."""
@@ -120,9 +126,7 @@
     def found_replica(self, number: int) -> None:
         """Write the identity of a founding replica."""
         founders = ','.join(
-            f'replica-{place}={self.dialled_replicas[place]}'
-            f'@{DATA_CENTRES[place % len(DATA_CENTRES)]}'
-            for place in range(self.plan.replicas)
+            self._founder(place) for place in range(self.plan.replicas)
         )
         subprocess.run(
             [
@@ -219,7 +223,7 @@
     def get(self, path: str, entry: int = 0) -> dict[str, Any]:
         """Return what an entry answers to a GET."""
         url = f'http://{self.entry_addresses[entry]}{path}'
-        answered: dict[str, Any] = httpx.get(url, timeout=15).json()
+        answered: dict[str, Any] = httpx.get(url, timeout=_ANSWER_S).json()
         return answered
 
     def leader(self) -> str:
@@ -244,6 +248,11 @@
             if process.running is not None:
                 process.running.wait()
 
+    def _founder(self, place: int) -> str:
+        address = self.dialled_replicas[place]
+        data_centre = DATA_CENTRES[place % len(DATA_CENTRES)]
+        return f'replica-{place}={address}@{data_centre}'
+
     def _add(self, name: str, command: list[str]) -> Process:
         log = self.plan.folder / f'{name}.log'
         self.processes[name] = Process(name, command, log)
@@ -276,7 +285,7 @@
     ]
     for opened in sockets:
         opened.bind(('127.0.0.1', 0))
-    ports = [int(opened.getsockname()[1]) for opened in sockets]
-    for opened in sockets:
-        opened.close()
+    ports = [int(bound.getsockname()[1]) for bound in sockets]
+    for bound in sockets:
+        bound.close()
     return ports
--- /dev/null
+++ b/demo/runner.py
@@ -0,0 +1,205 @@
+"""Pretended tasks of a stand-in target, and the history that it writes."""
+
+from __future__ import annotations
+
+import dataclasses
+import json
+import pathlib
+import time
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import anyio
+from anyio.abc import TaskGroup
+
+_MS_PER_S = 1000
+_NS_PER_MS = 1_000_000
+_CLOCK_BITS = 16
+_FOREVER_MS = 86_400_000.0
+_DEFAULT_MS = 10
+_DUPLICATES = 3
+_ATTEMPT = 'attempt'
+
+Report = Callable[[dict[str, Any]], Awaitable[None]]
+
+
+def monotonic_ms() -> int:
+    """Return the monotonic clock, common to all processes of a machine."""
+    return time.monotonic_ns() // _NS_PER_MS
+
+
+class Clock:
+    """The hybrid logical clock of a target."""
+
+    def __init__(self) -> None:
+        """Start before all stamps."""
+        self._latest = 0
+
+    def stamp(self) -> int:
+        """Return a stamp larger than all before."""
+        wall = (time.time_ns() // _NS_PER_MS) << _CLOCK_BITS
+        self._latest = max(self._latest + 1, wall)
+        return self._latest
+
+    def witness(self, stamp: int) -> None:
+        """Take note of a stamp that was received."""
+        self._latest = max(self._latest, stamp)
+
+
+@dataclasses.dataclass(frozen=True)
+class History:
+    """Writes what really ran on a target, for the checkers."""
+
+    target: str
+    path: pathlib.Path | None
+
+    def note(
+        self, what: str, start: dict[str, Any], at: int | None = None
+    ) -> None:
+        """Append a line; at is monotonic ms, now unless given."""
+        if self.path is None:
+            return
+        line = {
+            'at': monotonic_ms() if at is None else at,
+            'target': self.target,
+            'what': what,
+            _ATTEMPT: start[_ATTEMPT],
+            'millicores': start.get('millicores', 0),
+            'memory_bytes': start.get('memory_bytes', 0),
+        }
+        with self.path.open('a') as opened:
+            opened.write(f'{json.dumps(line)}\n')
+
+
+@dataclasses.dataclass
+class Lease:
+    """The session of a target and until when it holds."""
+
+    session: str = ''
+    until: int = 0
+    duration: int = 0
+
+    def holds(self) -> bool:
+        """Return whether attempts may run now."""
+        return bool(self.session) and monotonic_ms() < self.until
+
+    def extend(self, sent_at: int) -> None:
+        """Count the lease from when a renewal was sent."""
+        if self.holds():
+            self.until = max(self.until, sent_at + self.duration)
+
+
+class Runner:
+    """Runs the attempts of one session after the other.
+
+    Behaviours: obey; fail, which fails every task; duplicate, which reports
+    each end three times; late, which reports ends a second late; blackhole,
+    which confirms starts and never ends anything.
+    """
+
+    def __init__(
+        self, lease: Lease, history: History, behaviour: str, report: Report
+    ) -> None:
+        """Start with nothing running."""
+        self.clock = Clock()
+        self.running: dict[str, anyio.CancelScope] = {}
+        self.ends: dict[str, dict[str, Any]] = {}
+        self.group: TaskGroup | None = None
+        self._known: set[str] = set()
+        self._lease = lease
+        self._history = history
+        self._behaviour = behaviour
+        self._report = report
+
+    async def obey(self, commands: dict[str, Any]) -> None:
+        """Carry out the commands of one message."""
+        for start in commands['start']:
+            await self._start(start)
+        for stop in commands['stop']:
+            await self._stop(stop[_ATTEMPT])
+        for attempt in commands['acknowledge']:
+            self.ends.pop(attempt, None)
+
+    def end_session(self, at: int) -> None:
+        """Stop everything and forget the session."""
+        for attempt, scope in self.running.items():
+            scope.cancel()
+            self._history.note('end', {_ATTEMPT: attempt}, at)
+        self.running.clear()
+        self._known.clear()
+        self.ends.clear()
+
+    async def _start(self, start: dict[str, Any]) -> None:
+        attempt = start[_ATTEMPT]
+        stamped = {_ATTEMPT: attempt, 'clock': self.clock.stamp()}
+        if attempt in self._known:
+            # A repeated start: say again what is known, run nothing.
+            if attempt in self.running:
+                await self._report({'started': [stamped]})
+            return
+        self._known.add(attempt)
+        self.running[attempt] = anyio.CancelScope()
+        self._history.note('start', start)
+        await self._report({'started': [stamped]})
+        if self.group is not None:
+            self.group.start_soon(self._run, start)
+
+    async def _stop(self, attempt: str) -> None:
+        if attempt in self.running:
+            self.running[attempt].cancel()
+        elif attempt not in self._known:
+            self._known.add(attempt)
+            await self._finish(attempt, 'never_started')
+
+    async def _run(self, start: dict[str, Any]) -> None:
+        attempt = start[_ATTEMPT]
+        session = self._lease.session
+        order = json.loads(start['payload'] or '{}')
+        scope = self.running.get(attempt)
+        if scope is None:
+            return
+        await self._report_usage(start, order)
+        with scope:
+            await anyio.sleep(self._run_ms(order) / _MS_PER_S)
+        if self._lease.session != session or not self._lease.holds():
+            return
+        self.running.pop(attempt)
+        self._history.note('end', start)
+        if scope.cancelled_caught:
+            await self._finish(attempt, 'stopped', checkpoint='half way')
+        elif self._must_fail(order):
+            await self._finish(attempt, 'failed', detail='as told')
+        else:
+            await self._finish(attempt, 'completed', answer=start['payload'])
+
+    async def _report_usage(
+        self, start: dict[str, Any], order: dict[str, Any]
+    ) -> None:
+        if 'use_bytes' not in order:
+            return
+        usage = {
+            _ATTEMPT: start[_ATTEMPT],
+            'millicores': start['millicores'],
+            'memory_bytes': order['use_bytes'],
+        }
+        await self._report({'usage': [usage]})
+
+    def _must_fail(self, order: dict[str, Any]) -> bool:
+        return self._behaviour == 'fail' or bool(order.get('fail'))
+
+    def _run_ms(self, order: dict[str, Any]) -> float:
+        if self._behaviour == 'blackhole':
+            return _FOREVER_MS
+        if self._behaviour == 'fail':
+            return 1
+        return float(order.get('run_ms', _DEFAULT_MS))
+
+    async def _finish(self, attempt: str, reason: str, **more: str) -> None:
+        if self._behaviour == 'late':
+            await anyio.sleep(1)
+        ended: dict[str, Any] = {_ATTEMPT: attempt, 'reason': reason, **more}
+        ended['clock'] = self.clock.stamp()
+        self.ends[attempt] = ended
+        repeats = _DUPLICATES if self._behaviour == 'duplicate' else 1
+        for _ in range(repeats):
+            await self._report({'ended': [ended]})
--- a/demo/stand_in.py
+++ b/demo/stand_in.py
@@ -12,76 +12,68 @@
 import pathlib
 import secrets
 import signal
-import time
-from typing import Annotated, Any
+from typing import Any
 
 import anyio
-import anyio.abc
 import httpx
 import httpx_ws
 import typer
 
+from demo import runner
+
 RENEW_S = 0.5
 SILENCE_S = 1.5
 WATCH_S = 0.05
 RECONNECT_S = 0.2
 RESEND_S = 1.0
-_MS_PER_S = 1000
-_NS_PER_MS = 1_000_000
-_CLOCK_BITS = 16
-_OBEY = 'obey'
-
+_MESSAGE_BYTES = 8_388_608
+_RENEWALS_KEPT = 100
 
-def monotonic_ms() -> int:
-    """Return the monotonic clock, common to all processes of a machine."""
-    return time.monotonic_ns() // _NS_PER_MS
+_BROKEN = (
+    httpx_ws.HTTPXWSException,
+    httpx.HTTPError,
+    OSError,
+    anyio.ClosedResourceError,
+    anyio.EndOfStream,
+    anyio.BrokenResourceError,
+)
 
 
 @dataclasses.dataclass(frozen=True)
 class Plan:
-    """What the target is and how it behaves.
-
-    Behaviours: obey; fail, which fails every task; duplicate, which reports
-    each end three times; late, which reports ends a second late; blackhole,
-    which confirms starts and never ends anything.
-    """
+    """What the target is; behaviour is one of the runner's."""
 
     name: str
     data_centre: str
     rack: str
     entries: tuple[str, ...]
-    millicores: int
-    memory_bytes: int
-    slots: int
+    capacity: dict[str, int]
     behaviour: str
     history: pathlib.Path | None
 
 
 class Target:
-    """Holds one session at a time and runs its attempts."""
+    """Holds one session at a time and carries its messages."""
 
     def __init__(self, plan: Plan) -> None:
         """Start without a session."""
         self.plan = plan
-        self.session = ''
-        self.ended_session = ''
-        self.lease_until = 0
-        self.is_leaving = False
         self.is_stopped = anyio.Event()
-        self.running: dict[str, anyio.CancelScope] = {}
-        self.known: set[str] = set()
-        self.ends: dict[str, dict[str, Any]] = {}
-        self.sent_at: dict[int, int] = {}
-        self.sequence = 0
-        self.clock = 0
-        self.heard_at = 0
-        self.socket: httpx_ws.AsyncWebSocketSession | None = None
-        self.group: anyio.abc.TaskGroup | None = None
+        self._lease = runner.Lease()
+        self._history = runner.History(plan.name, plan.history)
+        self._runner = runner.Runner(
+            self._lease, self._history, plan.behaviour, self._report
+        )
+        self._ended_session = ''
+        self._is_leaving = False
+        self._sent_at: dict[int, int] = {}
+        self._sequence = 0
+        self._socket: httpx_ws.AsyncWebSocketSession | None = None
 
     async def run(self) -> None:
         """Connect for ever, until a planned stop is over."""
         async with anyio.create_task_group() as group:
-            self.group = group
+            self._runner.group = group
             group.start_soon(self._watch_lease)
             group.start_soon(self._leave_on_signal)
             group.start_soon(self._connect)
@@ -95,275 +87,147 @@
             entries.append(address)
             try:
                 await self._serve(address)
-            except* (
-                httpx_ws.HTTPXWSException,
-                httpx.HTTPError,
-                OSError,
-                anyio.ClosedResourceError,
-                anyio.EndOfStream,
-                anyio.BrokenResourceError,
-            ):
-                self.socket = None
-            self.socket = None
+            except* _BROKEN:
+                self._socket = None
+            self._socket = None
             await anyio.sleep(RECONNECT_S)
 
     async def _serve(self, address: str) -> None:
-        async with httpx.AsyncClient(timeout=2) as client:
-            url = f'http://{address}/v1/target'
-            async with httpx_ws.aconnect_ws(
-                url,
+        async with (
+            httpx.AsyncClient(timeout=2) as client,
+            httpx_ws.aconnect_ws(  # type: ignore[var-annotated]
+                f'http://{address}/v1/target',
                 client,
-                max_message_size_bytes=8_388_608,
+                max_message_size_bytes=_MESSAGE_BYTES,
                 keepalive_ping_interval_seconds=None,
-            ) as socket:
-                await self._converse(socket)
+            ) as socket,
+        ):
+            await self._converse(socket)
 
     async def _converse(self, socket: httpx_ws.AsyncWebSocketSession) -> None:
-        greeted_at = monotonic_ms()
-        self.heard_at = greeted_at
-        nonce = secrets.token_hex(8)
-        await socket.send_text(json.dumps(self._hello(nonce)))
+        greeted_at = runner.monotonic_ms()
+        await socket.send_text(json.dumps(self._hello()))
         welcome = await self._receive(socket)
         if welcome['type'] != 'welcome':
             raise OSError(welcome.get('reason', 'no welcome'))
-        if not self.session:
-            self.session = welcome['session']
-            self.lease_until = greeted_at + welcome['lease_ms']
-            self.lease_ms = welcome['lease_ms']
-        self.socket = socket
+        if not self._lease.session:
+            self._lease.session = welcome['session']
+            self._lease.duration = welcome['lease_ms']
+            self._lease.until = greeted_at + welcome['lease_ms']
+        self._socket = socket
         async with anyio.create_task_group() as group:
-            group.start_soon(self._renew, socket)
-            group.start_soon(self._repeat_ends, socket)
+            group.start_soon(self._renew)
+            group.start_soon(self._repeat_ends)
             await self._listen(socket)
             group.cancel_scope.cancel()
 
-    def _hello(self, nonce: str) -> dict[str, Any]:
-        hello = {
+    def _hello(self) -> dict[str, Any]:
+        hello: dict[str, Any] = {
             'type': 'hello',
             'version': 1,
             'target': self.plan.name,
             'data_centre': self.plan.data_centre,
             'rack': self.plan.rack,
-            'capacity': {
-                'millicores': self.plan.millicores,
-                'memory_bytes': self.plan.memory_bytes,
-                'slots': self.plan.slots,
-            },
-            'nonce': nonce,
-            'clock': self._stamp(),
+            'capacity': self.plan.capacity,
+            'nonce': secrets.token_hex(8),
+            'clock': self._runner.clock.stamp(),
         }
-        if self.session:
-            hello['resume'] = self.session
-        elif self.ended_session:
-            hello['ended'] = self.ended_session
+        if self._lease.session:
+            hello['resume'] = self._lease.session
+        elif self._ended_session:
+            hello['ended'] = self._ended_session
         return hello
 
     async def _receive(
         self, socket: httpx_ws.AsyncWebSocketSession
     ) -> dict[str, Any]:
-        text = await socket.receive_text(timeout=SILENCE_S)
+        try:
+            text = await socket.receive_text(timeout=SILENCE_S)
+        except TimeoutError as error:
+            raise OSError('the entry is silent') from error
         message: dict[str, Any] = json.loads(text)
-        self.clock = max(self.clock, message.get('clock', 0))
+        self._runner.clock.witness(message.get('clock', 0))
         return message
 
     async def _listen(self, socket: httpx_ws.AsyncWebSocketSession) -> None:
-        session = self.session
-        while self.session == session:
-            try:
-                message = await self._receive(socket)
-            except TimeoutError as error:
-                raise OSError('the entry is silent') from error
+        session = self._lease.session
+        while self._lease.session == session:
+            message = await self._receive(socket)
             kind = message['type']
-            if kind == 'renewed':
-                self._extend_lease(message['sequence'])
-            elif kind == 'commands' and self.is_leased():
-                await self._obey(message)
-            elif kind == 'expired':
-                self._end_session(monotonic_ms())
-            elif kind in {'move', 'error'}:
+            if kind in {'move', 'error'}:
                 return
-
-    def is_leased(self) -> bool:
-        """Return whether the session's lease holds now."""
-        return bool(self.session) and monotonic_ms() < self.lease_until
-
-    def _extend_lease(self, sequence: int) -> None:
-        sent_at = self.sent_at.pop(sequence, None)
-        if sent_at is not None and self.is_leased():
-            self.lease_until = max(self.lease_until, sent_at + self.lease_ms)
-
-    async def _renew(self, socket: httpx_ws.AsyncWebSocketSession) -> None:
+            await self._take(kind, message)
+
+    async def _take(self, kind: str, message: dict[str, Any]) -> None:
+        if kind == 'renewed':
+            sent_at = self._sent_at.pop(message['sequence'], 0)
+            self._lease.extend(sent_at)
+        elif kind == 'commands' and self._lease.holds():
+            await self._runner.obey(message)
+        elif kind == 'expired':
+            self._end_session(runner.monotonic_ms())
+
+    async def _renew(self) -> None:
         while True:
-            self.sequence += 1
-            self.sent_at[self.sequence] = monotonic_ms()
-            self.sent_at.pop(self.sequence - 100, None)
-            await self._send({'type': 'renew', 'sequence': self.sequence})
-            if self.is_leaving:
+            self._sequence += 1
+            self._sent_at[self._sequence] = runner.monotonic_ms()
+            self._sent_at.pop(self._sequence - _RENEWALS_KEPT, None)
+            await self._send({'type': 'renew', 'sequence': self._sequence})
+            if self._is_leaving:
                 await self._send({'type': 'leave'})
             await anyio.sleep(RENEW_S)
 
-    async def _repeat_ends(
-        self, socket: httpx_ws.AsyncWebSocketSession
-    ) -> None:
+    async def _repeat_ends(self) -> None:
         while True:
-            if self.ends:
-                await self._report(ended=list(self.ends.values()))
+            if self._runner.ends:
+                await self._report({'ended': list(self._runner.ends.values())})
             await anyio.sleep(RESEND_S)
 
     async def _send(self, message: dict[str, Any]) -> None:
-        if self.socket is None:
+        if self._socket is None:
             return
-        message['clock'] = self._stamp()
+        message['clock'] = self._runner.clock.stamp()
         try:
-            await self.socket.send_text(json.dumps(message))
-        except (
-            httpx_ws.HTTPXWSException,
-            OSError,
-            anyio.ClosedResourceError,
-            anyio.BrokenResourceError,
-        ):
-            self.socket = None
+            await self._socket.send_text(json.dumps(message))
+        except _BROKEN:
+            self._socket = None
 
-    async def _report(self, **parts: list[dict[str, Any]]) -> None:
+    async def _report(self, parts: dict[str, Any]) -> None:
         await self._send({'type': 'report', **parts})
 
-    async def _obey(self, commands: dict[str, Any]) -> None:
-        for start in commands['start']:
-            await self._start(start)
-        for stop in commands['stop']:
-            await self._stop(stop['attempt'])
-        for attempt in commands['acknowledge']:
-            self.ends.pop(attempt, None)
-
-    async def _start(self, start: dict[str, Any]) -> None:
-        attempt = start['attempt']
-        if attempt in self.known:
-            # A repeated start: say again what is known, run nothing.
-            if attempt in self.running:
-                await self._report(started=[self._stamped(attempt)])
-            return
-        self.known.add(attempt)
-        self.running[attempt] = anyio.CancelScope()
-        self._note('start', start)
-        await self._report(started=[self._stamped(attempt)])
-        if self.group is not None:
-            self.group.start_soon(self._run_attempt, start)
-
-    async def _stop(self, attempt: str) -> None:
-        if attempt in self.running:
-            self.running[attempt].cancel()
-        elif attempt not in self.known:
-            self.known.add(attempt)
-            await self._finish(attempt, 'never_started')
-
-    async def _run_attempt(self, start: dict[str, Any]) -> None:
-        attempt = start['attempt']
-        session = self.session
-        order = json.loads(start['payload'] or '{}')
-        if 'use_bytes' in order:
-            await self._report(
-                usage=[
-                    {
-                        'attempt': attempt,
-                        'millicores': start['millicores'],
-                        'memory_bytes': order['use_bytes'],
-                    }
-                ]
-            )
-        scope = self.running.get(attempt)
-        if scope is None:
-            return
-        with scope:
-            await anyio.sleep(self._run_ms(order) / _MS_PER_S)
-        if self.session != session or not self.is_leased():
-            return
-        self.running.pop(attempt)
-        self._note('end', start)
-        if scope.cancelled_caught:
-            await self._finish(attempt, 'stopped', checkpoint='half way')
-        elif order.get('fail') or self.plan.behaviour == 'fail':
-            await self._finish(attempt, 'failed', detail='as told')
-        else:
-            await self._finish(attempt, 'completed', answer=start['payload'])
-
-    def _run_ms(self, order: dict[str, Any]) -> float:
-        if self.plan.behaviour == 'blackhole':
-            return 86_400_000
-        if self.plan.behaviour == 'fail':
-            return 1
-        return float(order.get('run_ms', 10))
-
-    async def _finish(self, attempt: str, reason: str, **more: str) -> None:
-        if self.plan.behaviour == 'late':
-            await anyio.sleep(1)
-        ended = {'attempt': attempt, 'reason': reason, **more}
-        ended['clock'] = self._stamp()  # type: ignore[assignment]
-        self.ends[attempt] = ended
-        repeats = 3 if self.plan.behaviour == 'duplicate' else 1
-        for _ in range(repeats):
-            await self._report(ended=[ended])
-
     async def _watch_lease(self) -> None:
         while True:
             await anyio.sleep(WATCH_S)
-            if self.session and not self.is_leased():
+            if self._lease.session and not self._lease.holds():
                 # Nothing has run since the lease lapsed: this check comes
                 # before any task goes on, also after a pause.
-                self._end_session(self.lease_until)
-            if self.is_leaving and not (self.running or self.ends):
+                self._end_session(self._lease.until)
+            is_busy = self._runner.running or self._runner.ends
+            if self._is_leaving and not is_busy:
                 self.is_stopped.set()
 
     def _end_session(self, at: int) -> None:
-        for attempt, scope in self.running.items():
-            scope.cancel()
-            self._note('end', {'attempt': attempt}, at)
-        self.running.clear()
-        self.known.clear()
-        self.ends.clear()
-        self.ended_session = self.session
-        self.session = ''
+        self._runner.end_session(at)
+        self._ended_session = self._lease.session
+        self._lease.session = ''
 
     async def _leave_on_signal(self) -> None:
         with anyio.open_signal_receiver(signal.SIGTERM) as signals:
             async for _ in signals:
-                self.is_leaving = True
-                self._note('leave', {'attempt': ''})
+                self._is_leaving = True
+                self._history.note('leave', {'attempt': ''})
                 await self._send({'type': 'leave'})
 
-    def _note(
-        self, what: str, start: dict[str, Any], at: int | None = None
-    ) -> None:
-        if self.plan.history is None:
-            return
-        line = {
-            'at': monotonic_ms() if at is None else at,
-            'target': self.plan.name,
-            'what': what,
-            'attempt': start['attempt'],
-            'millicores': start.get('millicores', 0),
-            'memory_bytes': start.get('memory_bytes', 0),
-        }
-        with self.plan.history.open('a') as history:
-            history.write(f'{json.dumps(line)}\n')
-
-    def _stamped(self, attempt: str) -> dict[str, Any]:
-        return {'attempt': attempt, 'clock': self._stamp()}
-
-    def _stamp(self) -> int:
-        wall = (time.time_ns() // _NS_PER_MS) << _CLOCK_BITS
-        self.clock = max(self.clock + 1, wall)
-        return self.clock
-
 
 def main(
     name: str,
     entries: str,
     data_centre: str = 'doto-kushiro',
-    rack: str = 'r0',
+    rack: str = 'rack-0',
     millicores: int = 16_000,
     memory_bytes: int = 34_359_738_368,
     slots: int = 8,
-    behaviour: Annotated[str, typer.Option()] = _OBEY,
+    behaviour: str = 'obey',
     history: str = '',
 ) -> None:
     """Run a stand-in target until a planned stop."""
@@ -372,9 +236,11 @@
         data_centre=data_centre,
         rack=rack,
         entries=tuple(entries.split(',')),
-        millicores=millicores,
-        memory_bytes=memory_bytes,
-        slots=slots,
+        capacity={
+            'millicores': millicores,
+            'memory_bytes': memory_bytes,
+            'slots': slots,
+        },
         behaviour=behaviour,
         history=pathlib.Path(history) if history else None,
     )
--- a/mulberrywalk/consensus/election.py
+++ b/mulberrywalk/consensus/election.py
@@ -200,9 +200,9 @@
     effects: list[node.Effect],
 ) -> None:
     """Stand for election at once, as the leader asked."""
-    if body.term == state.term and state.is_voter():
-        if state.leader == sender:
-            campaign(state, effects, handover=True)
+    is_asked_by_leader = body.term == state.term and state.leader == sender
+    if is_asked_by_leader and state.is_voter():
+        campaign(state, effects, handover=True)
 
 
 def _has_won(state: node.Node) -> bool:
--- a/mulberrywalk/consensus/log.py
+++ b/mulberrywalk/consensus/log.py
@@ -53,14 +53,14 @@
     def truncate(self, first: int) -> None:
         """Drop the entries from the index first on."""
         keep = first - self.snapshot_index - 1
-        self.entries[keep:] = []
+        self.entries = self.entries[:keep]
 
     def compact(self, index: int, membership: message.Membership) -> None:
         """Drop the entries up to an index that a snapshot covers."""
         term = self.term_at(index)
         if term is None:
             raise AssertionError(f'no entry {index} to compact to')
-        self.entries[: index - self.snapshot_index] = []
+        self.entries = self.entries[index - self.snapshot_index :]
         self.snapshot_index = index
         self.snapshot_term = term
         self.snapshot_membership = membership
--- a/mulberrywalk/consensus/message.py
+++ b/mulberrywalk/consensus/message.py
@@ -76,6 +76,9 @@
         )
 
 
+NOBODY = Membership(())
+
+
 class Snapshot(msgspec.Struct, frozen=True):
     """The applied state up to and including one index."""
 
--- a/mulberrywalk/consensus/node.py
+++ b/mulberrywalk/consensus/node.py
@@ -63,7 +63,7 @@
     vote: message.ReplicaId | None = None
     role: Role = Role.FOLLOWER
     leader: message.ReplicaId | None = None
-    membership: message.Membership = message.Membership(())
+    membership: message.Membership = message.NOBODY
     commit_index: int = 0
     applied_index: int = 0
     synced_index: int = 0
--- a/mulberrywalk/consensus/raft.py
+++ b/mulberrywalk/consensus/raft.py
@@ -12,11 +12,12 @@
 from typing import Any
 
 from . import election, message, node, replication
+from . import log as replica_log
 
 
 def create(
     identity: message.ReplicaId,
-    log: node.replica_log.Log,
+    log: replica_log.Log,
     timing: node.Timing,
     *,
     vote: node.SaveVote,
--- a/mulberrywalk/consensus/repair.py
+++ b/mulberrywalk/consensus/repair.py
@@ -10,6 +10,8 @@
 _CAUGHT_UP_ENTRIES = 200
 # A silent spare is forgotten after this many times the voters' patience.
 _SPARE_PATIENCE = 10
+# A spare that has not answered for this long is not promoted.
+_SPARE_SILENCE_MS = 2000
 
 
 def plan(
@@ -92,7 +94,7 @@
 def _is_caught_up(
     state: node.Node, member: message.Member, patience_ms: int
 ) -> bool:
-    if is_silent(state, member.identity, min(patience_ms, 2000)):
+    if is_silent(state, member.identity, min(patience_ms, _SPARE_SILENCE_MS)):
         return False
     match = state.progress[member.identity].match_index
     return match >= state.commit_index - _CAUGHT_UP_ENTRIES
--- a/mulberrywalk/consensus/replication.py
+++ b/mulberrywalk/consensus/replication.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from . import election, message, node
+from . import log as replica_log
 
 _HANDOVER_MS = 1000
 _SNAPSHOT_RETRY_MS = 1000
@@ -203,9 +204,9 @@
     """
     if state.role is node.Role.LEADER:
         agreed = _agreed_index(state)
-        if agreed > state.commit_index:
-            if state.log.term_at(agreed) == state.term:
-                state.commit_index = agreed
+        is_own_term = state.log.term_at(agreed) == state.term
+        if agreed > state.commit_index and is_own_term:
+            state.commit_index = agreed
     # A follower applies only what its own disk holds.
     ready = min(state.commit_index, state.synced_index)
     if ready > state.applied_index:
@@ -396,7 +397,7 @@
     received: message.Snapshot,
     effects: list[node.Effect],
 ) -> None:
-    state.log = node.replica_log.Log(
+    state.log = replica_log.Log(
         received.index, received.term, received.membership
     )
     state.membership = received.membership
--- a/mulberrywalk/core/admission.py
+++ b/mulberrywalk/core/admission.py
@@ -44,7 +44,7 @@
     )
     tables.jobs[record.job] = record
     tables.requests[request] = record.job
-    for number in range(len(specification.tasks)):
+    for number, _ in enumerate(specification.tasks):
         lifecycle.wait(tables, _create_task(record, number))
     tables.emit(
         effect.Trace(
@@ -97,10 +97,10 @@
 def _answer_again(record: job.Job, digest: str) -> outcome.Outcome:
     if record.digest == digest:
         return outcome.Accepted(record.job)
+    request_id = record.specification.request_id
     return outcome.NotRun(
         outcome.RefusalReason.REQUEST_REUSED,
-        f'request id {record.specification.request_id} was used for another '
-        f'body, by job {record.job}',
+        f'request id {request_id} belongs to job {record.job}, another body',
     )
 
 
@@ -115,8 +115,7 @@
         return None
     return outcome.NotRun(
         outcome.RefusalReason.QUEUE_FULL,
-        f'team {specification.team} has {waiting_tasks} of {bound} tasks of '
-        f'urgency {specification.urgency.value} waiting',
+        f'{waiting_tasks} tasks of this team and urgency wait, of {bound}',
         _RETRY_AFTER_MS,
     )
 
--- a/mulberrywalk/core/configuration.py
+++ b/mulberrywalk/core/configuration.py
@@ -8,14 +8,22 @@
 
 import msgspec
 
-from . import job
+from . import job, resource
 
 NORMAL_WEIGHT = 100
+# Shares in parts per million, queue bounds in tasks of one team.
+_FLOOR = 150_000
+_LOW_FLOOR = 50_000
+_SHORT_QUEUE = 2000
+_LONG_QUEUE = 10_000
 
-Count = Annotated[int, msgspec.Meta(ge=0, le=10_000_000)]
-Positive = Annotated[int, msgspec.Meta(ge=1, le=10_000_000)]
-Share = Annotated[int, msgspec.Meta(ge=0, le=1_000_000)]
-Duration = Annotated[int, msgspec.Meta(ge=0, le=604_800_000)]
+MAX_COUNT = 10_000_000
+MAX_DURATION_MS = 604_800_000
+
+Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
+Positive = Annotated[int, msgspec.Meta(ge=1, le=MAX_COUNT)]
+Share = Annotated[int, msgspec.Meta(ge=0, le=resource.PARTS_PER_MILLION)]
+Duration = Annotated[int, msgspec.Meta(ge=0, le=MAX_DURATION_MS)]
 
 
 class TeamLimits(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -26,7 +34,7 @@
     """
 
     weight: Positive = NORMAL_WEIGHT
-    quota: Share = 1_000_000
+    quota: Share = resource.PARTS_PER_MILLION
     retry_percent: Count = 20
 
 
@@ -50,10 +58,10 @@
 
     classes: dict[job.Urgency, ClassLimits] = msgspec.field(
         default_factory=lambda: {
-            job.Urgency.CRITICAL: ClassLimits(150_000, 2000),
-            job.Urgency.HIGH: ClassLimits(150_000, 2000),
-            job.Urgency.NORMAL: ClassLimits(150_000, 10_000),
-            job.Urgency.LOW: ClassLimits(50_000, 10_000),
+            job.Urgency.CRITICAL: ClassLimits(_FLOOR, _SHORT_QUEUE),
+            job.Urgency.HIGH: ClassLimits(_FLOOR, _SHORT_QUEUE),
+            job.Urgency.NORMAL: ClassLimits(_FLOOR, _LONG_QUEUE),
+            job.Urgency.LOW: ClassLimits(_LOW_FLOOR, _LONG_QUEUE),
         }
     )
     teams: dict[job.Name, TeamLimits] = msgspec.field(default_factory=dict)
@@ -92,7 +100,7 @@
     except msgspec.ValidationError as error:
         return PatchRejected(str(error))
     floors = sum(limits.floor for limits in patched.classes.values())
-    if floors > 1_000_000:
+    if floors > resource.PARTS_PER_MILLION:
         return PatchRejected('the floors exceed the cell - at `$.classes`')
     if set(patched.classes) != set(job.Urgency):
         return PatchRejected('each urgency needs limits - at `$.classes`')
--- a/mulberrywalk/core/gang.py
+++ b/mulberrywalk/core/gang.py
@@ -176,7 +176,7 @@
             for cell in tables.fleet.cells.values()
             if cell.is_open and not cell.is_probed
         ),
-        key=lambda outlook: (outlook.free_at, outlook.cell.target),
+        key=_when_free,
     )
     demands = [needs.demand() for needs in specification.tasks]
     chosen: list[Outlook] = []
@@ -194,12 +194,12 @@
     demands: list[resource.Resources], free: resource.Resources
 ) -> int:
     sums = itertools.accumulate(demands, resource.add)
-    return sum(
-        1
-        for _ in itertools.takewhile(
-            lambda held: resource.fits(held, free), sums
-        )
-    )
+    # Sums only grow: once one does not fit, none after it does.
+    return sum(resource.fits(held, free) for held in sums)
+
+
+def _when_free(outlook: Outlook) -> tuple[int, str]:
+    return outlook.free_at, outlook.cell.target
 
 
 def _foresee(tables: state.State, cell: fleet.Cell) -> Outlook:
--- a/mulberrywalk/core/job.py
+++ b/mulberrywalk/core/job.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+from types import MappingProxyType
 from typing import Annotated
 
 import msgspec
@@ -13,6 +14,9 @@
 MAX_NAME = 128
 MAX_PAYLOAD = 65_536
 MAX_RUN_MS = 604_800_000
+MAX_MILLICORES = 1_000_000
+MAX_MEMORY_BYTES = 1_125_899_906_842_624
+MAX_ACCELERATORS = 1024
 
 Name = Annotated[
     str,
@@ -98,9 +102,9 @@
 ):
     """What one task needs; the payload is opaque to the scheduler."""
 
-    millicores: Annotated[int, msgspec.Meta(ge=1, le=1_000_000)]
-    memory_bytes: Annotated[int, msgspec.Meta(ge=0, le=1 << 50)]
-    accelerators: Annotated[int, msgspec.Meta(ge=0, le=1024)] = 0
+    millicores: Annotated[int, msgspec.Meta(ge=1, le=MAX_MILLICORES)]
+    memory_bytes: Annotated[int, msgspec.Meta(ge=0, le=MAX_MEMORY_BYTES)]
+    accelerators: Annotated[int, msgspec.Meta(ge=0, le=MAX_ACCELERATORS)] = 0
     estimate_ms: Annotated[int, msgspec.Meta(ge=1, le=MAX_RUN_MS)] = 60_000
     payload: Annotated[str, msgspec.Meta(max_length=MAX_PAYLOAD)] = ''
 
@@ -210,4 +214,6 @@
     return _RANKS[urgency]
 
 
-_RANKS = {urgency: place for place, urgency in enumerate(Urgency)}
+_RANKS = MappingProxyType(
+    {urgency: place for place, urgency in enumerate(Urgency)}
+)
--- a/mulberrywalk/core/lifecycle.py
+++ b/mulberrywalk/core/lifecycle.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from types import MappingProxyType
+
 import msgspec
 
 from . import (
@@ -19,12 +21,14 @@
 _FAILED_TARGETS_KEPT = 3
 _HISTORY_KEPT = 20
 
-_FINAL_STATES = {
-    job.TaskState.COMPLETED: job.JobState.COMPLETED,
-    job.TaskState.FAILED: job.JobState.FAILED,
-    job.TaskState.CANCELLED: job.JobState.CANCELLED,
-    job.TaskState.UNKNOWN: job.JobState.UNKNOWN,
-}
+_FINAL_STATES = MappingProxyType(
+    {
+        job.TaskState.COMPLETED: job.JobState.COMPLETED,
+        job.TaskState.FAILED: job.JobState.FAILED,
+        job.TaskState.CANCELLED: job.JobState.CANCELLED,
+        job.TaskState.UNKNOWN: job.JobState.UNKNOWN,
+    }
+)
 # The state of a job is the worst of its tasks'.
 _WORST_FIRST = (
     job.TaskState.UNKNOWN,
@@ -202,6 +206,7 @@
     tables: state.State, attempt: job.Attempt, ended: event.AttemptEnd
 ) -> job.Task:
     task = tables.tasks[attempt.task]
+    stopping = attempt.stopping.value if attempt.stopping else ''
     record = job.AttemptRecord(
         attempt=attempt.attempt,
         target=attempt.target,
@@ -209,8 +214,7 @@
         started_at=attempt.started_at,
         ended_at=tables.time,
         reason=ended.reason,
-        detail=ended.detail
-        or (attempt.stopping.value if attempt.stopping else ''),
+        detail=ended.detail or stopping,
     )
     # An end that is reported without its start proves the start too.
     started_at = task.first_started_at
--- a/mulberrywalk/core/outcome.py
+++ b/mulberrywalk/core/outcome.py
@@ -6,7 +6,8 @@
 import enum
 from typing import TypeAlias
 
-from . import configuration, identity, job
+from . import configuration, identity
+from .job import JobState
 
 
 class RefusalReason(enum.Enum):
@@ -43,7 +44,7 @@
     """The cancellation of a job was recorded."""
 
     job: identity.JobId
-    state: job.JobState
+    state: JobState
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/mulberrywalk/core/preemption.py
+++ b/mulberrywalk/core/preemption.py
@@ -32,7 +32,8 @@
     urgency = _URGENCIES[key.rank]
     if is_above_floor(tables, urgency):
         return
-    if tables.time < task.waiting_since + _PATIENCE_MS:
+    waited_ms = tables.time - task.waiting_since
+    if waited_ms < _PATIENCE_MS:
         return
     if tables.preempting >= _MAX_IN_FLIGHT:
         return
@@ -44,10 +45,11 @@
 
 def is_above_floor(tables: state.State, urgency: job.Urgency) -> bool:
     """Return whether an urgency uses its guaranteed part or more."""
+    document = tables.configuration.document
     share = resource.dominant_share(
         tables.urgency_usage[urgency], tables.fleet.total
     )
-    return share >= tables.configuration.document.classes[urgency].floor
+    return share >= document.classes[urgency].floor
 
 
 def choose_victim(
@@ -59,20 +61,26 @@
     for other in reversed(_URGENCIES):
         if other is urgency or not is_above_floor(tables, other):
             continue
-        latest = itertools.islice(reversed(tables.by_urgency[other]), _SCANNED)
-        victim = next(
-            (
-                tables.attempts[name]
-                for _, name in latest
-                if _is_eligible(tables, name, demand)
-            ),
-            None,
-        )
+        victim = _find_victim(tables, other, demand)
         if victim is not None:
             return victim
     return None
 
 
+def _find_victim(
+    tables: state.State, urgency: job.Urgency, demand: resource.Resources
+) -> job.Attempt | None:
+    latest = itertools.islice(reversed(tables.by_urgency[urgency]), _SCANNED)
+    return next(
+        (
+            tables.attempts[name]
+            for _, name in latest
+            if _is_eligible(tables, name, demand)
+        ),
+        None,
+    )
+
+
 def _is_eligible(
     tables: state.State,
     name: identity.AttemptId,
--- a/mulberrywalk/core/session.py
+++ b/mulberrywalk/core/session.py
@@ -109,12 +109,8 @@
         if _is_of_session(tables, ended.attempt, received.session):
             lifecycle.end(tables, ended)
     if received.ended:
-        tables.emit(
-            effect.AcknowledgeEnds(
-                received.session,
-                tuple(ended.attempt for ended in received.ended),
-            )
-        )
+        names = tuple(one.attempt for one in received.ended)
+        tables.emit(effect.AcknowledgeEnds(received.session, names))
     return outcome.Recorded()
 
 
--- a/mulberrywalk/core/usage.py
+++ b/mulberrywalk/core/usage.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from . import effect, event, fleet, job, lifecycle, resource, state
+from . import effect, event, fleet, identity, job, lifecycle, resource, state
 
 
 def correct(tables: state.State, received: event.ReportReceived) -> None:
@@ -19,7 +19,9 @@
         _relieve(tables, tables.fleet.cells[name])
 
 
-def _correct_attempt(tables: state.State, used: event.AttemptUsage) -> str:
+def _correct_attempt(
+    tables: state.State, used: event.AttemptUsage
+) -> identity.TargetId:
     attempt = tables.attempts[used.attempt]
     task = tables.tasks[attempt.task]
     declared = tables.task_specification(task).demand()
@@ -49,9 +51,10 @@
 
 
 def _choose_victim(tables: state.State, cell: fleet.Cell) -> job.Attempt | None:
+    attempts = map(tables.attempts.__getitem__, cell.attempts)
     candidates = [
         attempt
-        for attempt in (tables.attempts[name] for name in cell.attempts)
+        for attempt in attempts
         if attempt.stopping is None
         and tables.specification(tables.tasks[attempt.task]).is_idempotent
     ]
--- a/mulberrywalk/entry/answer.py
+++ b/mulberrywalk/entry/answer.py
@@ -78,10 +78,12 @@
     tag = body[codec.TAG]
     headers: dict[str, str] = {}
     status = _STATUSES.get(tag, _OK)
-    if 'reason' in body:
-        status = _REFUSALS.get(body['reason'], _BAD_REQUEST)
-    if body.get('retry_after_ms'):
-        seconds = math.ceil(body['retry_after_ms'] / _MS_PER_S)
+    reason = body.get('reason', '')
+    if reason:
+        status = _REFUSALS.get(reason, _BAD_REQUEST)
+    retry_after_ms = body.get('retry_after_ms', 0)
+    if retry_after_ms:
+        seconds = math.ceil(retry_after_ms / _MS_PER_S)
         headers['Retry-After'] = str(seconds)
     return _json(status, body, headers)
 
--- a/mulberrywalk/entry/caller.py
+++ b/mulberrywalk/entry/caller.py
@@ -42,6 +42,14 @@
     is_draining: bool = False
     in_progress: int = 0
 
+    def __enter__(self) -> None:
+        """Count a request that begins."""
+        self.in_progress += 1
+
+    def __exit__(self, *_: object) -> None:
+        """Count a request that has ended."""
+        self.in_progress -= 1
+
 
 class Interface:
     """Answers HTTP requests by calls to the leader."""
@@ -70,7 +78,7 @@
             self._route('/v1/configuration', self.get_configuration, 'GET'),
             self._route('/v1/configuration', self.patch_configuration, 'PATCH'),
             self._route('/v1/members', self.get_members, 'GET'),
-            self._route('/v1/targets', self.get_targets, 'GET'),
+            self._route('/v1/targets', self.list_targets, 'GET'),
             self._route('/v1/timeline', self.get_timeline, 'GET'),
             routing.Route('/v1/health', self.get_health, methods=['GET']),
             routing.Route('/v1/ready', self.get_readiness, methods=['GET']),
@@ -100,13 +108,14 @@
         reply = await self._leader.call(submission, _CALL_S)
         if reply is None:
             return answer.respond_unknown(specification.request_id)
+        told = reply[codec.TAG]
         self._journal.record(
             'answered',
-            f'{specification.request_id} {reply[codec.TAG]}',
+            f'{specification.request_id} {told}',
             job=reply.get('job', ''),
         )
-        self._metrics.incr(f'submit.{reply[codec.TAG]}')
-        if seconds and reply[codec.TAG] == 'accepted':
+        self._metrics.incr(f'submit.{told}')
+        if seconds and told == 'accepted':
             return await self._wait(reply, seconds)
         return answer.respond(reply)
 
@@ -165,7 +174,7 @@
         """Return replicas and entries."""
         return await self._ask(wire.GetMembers())
 
-    async def get_targets(self, _: requests.Request) -> responses.Response:
+    async def list_targets(self, _: requests.Request) -> responses.Response:
         """Return all targets."""
         return await self._ask(wire.GetTargets())
 
@@ -221,11 +230,8 @@
         self, path: str, endpoint: Endpoint, method: str
     ) -> routing.Route:
         async def serve(request: requests.Request) -> responses.Response:
-            self.duty.in_progress += 1
-            try:
+            with self.duty:
                 return await endpoint(request)
-            finally:
-                self.duty.in_progress -= 1
 
         return routing.Route(path, serve, methods=[method])
 
--- a/mulberrywalk/entry/connection.py
+++ b/mulberrywalk/entry/connection.py
@@ -85,10 +85,7 @@
         if not isinstance(hello, protocol.Hello):
             raise ProtocolError('the first message must be hello')
         if hello.version != protocol.VERSION:
-            raise ProtocolError(
-                f'protocol version {hello.version}, '
-                f'this entry speaks {protocol.VERSION}'
-            )
+            raise ProtocolError('that version is not spoken here')
         if self._is_moving:
             raise ConnectionError('this entry is stopping')
         self._journal.clock.witness(hello.clock)
@@ -144,7 +141,8 @@
         for started in received.started:
             self._keep(connection, started.attempt, 'runs', started.clock)
         for ended in received.ended:
-            what = f'done: {ended.reason.value}'
+            reason = ended.reason.value
+            what = f'done: {reason}'
             self._keep(connection, ended.attempt, what, ended.clock)
         self._leader.send(
             wire.Report(
--- a/mulberrywalk/entry/program.py
+++ b/mulberrywalk/entry/program.py
@@ -7,13 +7,12 @@
 from typing import Annotated
 
 import anyio
-import anyio.abc
-import hypercorn.asyncio
-import hypercorn.config
 import typer
+from hypercorn import asyncio as hypercorn_server
+from hypercorn import config as hypercorn_config
 
 from ..telemetry import journal, metric, setting
-from . import caller, connection, upstream
+from . import caller, connection, protocol, upstream
 
 _EXIT_ADDRESS = 3
 _POLL_S = 0.05
@@ -21,6 +20,7 @@
 _LONGEST_MS = 3_600_000
 _MS_PER_S = 1000
 _QUIET_POLLS = 4
+_BACKLOG = 1024
 
 application = typer.Typer(add_completion=False)
 
@@ -99,7 +99,7 @@
         group.start_soon(leader.run)
         group.start_soon(_drain_on_signal, settings, interface, targets, stop)
         lines.record('entry running', settings.listen)
-        await hypercorn.asyncio.serve(
+        await hypercorn_server.serve(
             interface.application(),  # type: ignore[arg-type]
             _server_config(settings),
             shutdown_trigger=stop.wait,
@@ -107,14 +107,14 @@
         group.cancel_scope.cancel()
 
 
-def _server_config(settings: Settings) -> hypercorn.config.Config:
-    config = hypercorn.config.Config()
+def _server_config(settings: Settings) -> hypercorn_config.Config:
+    config = hypercorn_config.Config()
     config.bind = [settings.listen]
     config.accesslog = None
     config.errorlog = None
     config.graceful_timeout = 1.0
-    config.websocket_max_message_size = 8_388_608
-    config.backlog = 1024
+    config.websocket_max_message_size = protocol.MAX_MESSAGE_BYTES
+    config.backlog = _BACKLOG
     return config
 
 
--- a/mulberrywalk/entry/protocol.py
+++ b/mulberrywalk/entry/protocol.py
@@ -15,9 +15,12 @@
 VERSION = 1
 MAX_ANSWER = 65_536
 MAX_MESSAGE_BYTES = 8_388_608
+MAX_AMOUNT = 9_007_199_254_740_992
+MAX_STAMP = 4_611_686_018_427_387_904
+_TAG_FIELD = 'type'
 
-Amount = Annotated[int, msgspec.Meta(ge=0, le=1 << 53)]
-Stamp = Annotated[int, msgspec.Meta(ge=0, le=1 << 62)]
+Amount = Annotated[int, msgspec.Meta(ge=0, le=MAX_AMOUNT)]
+Stamp = Annotated[int, msgspec.Meta(ge=0, le=MAX_STAMP)]
 
 
 class Capacity(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -38,7 +41,7 @@
 class Hello(
     msgspec.Struct,
     frozen=True,
-    tag_field='type',
+    tag_field=_TAG_FIELD,
     tag='hello',
     forbid_unknown_fields=True,
 ):
@@ -62,7 +65,7 @@
 class Renew(
     msgspec.Struct,
     frozen=True,
-    tag_field='type',
+    tag_field=_TAG_FIELD,
     tag='renew',
     forbid_unknown_fields=True,
 ):
@@ -101,7 +104,7 @@
 class Report(
     msgspec.Struct,
     frozen=True,
-    tag_field='type',
+    tag_field=_TAG_FIELD,
     tag='report',
     forbid_unknown_fields=True,
 ):
@@ -116,7 +119,7 @@
 class Leave(
     msgspec.Struct,
     frozen=True,
-    tag_field='type',
+    tag_field=_TAG_FIELD,
     tag='leave',
     forbid_unknown_fields=True,
 ):
@@ -128,7 +131,7 @@
 FromTarget: TypeAlias = Hello | Renew | Report | Leave
 
 
-class Welcome(msgspec.Struct, frozen=True, tag_field='type', tag='welcome'):
+class Welcome(msgspec.Struct, frozen=True, tag_field=_TAG_FIELD, tag='welcome'):
     """The session is open; its lease counts from when hello was sent."""
 
     session: identity.SessionId
@@ -136,14 +139,16 @@
     clock: int
 
 
-class Renewed(msgspec.Struct, frozen=True, tag_field='type', tag='renewed'):
+class Renewed(msgspec.Struct, frozen=True, tag_field=_TAG_FIELD, tag='renewed'):
     """The lease counts from when the renewal of that number was sent."""
 
     sequence: int
     clock: int
 
 
-class Commands(msgspec.Struct, frozen=True, tag_field='type', tag='commands'):
+class Commands(
+    msgspec.Struct, frozen=True, tag_field=_TAG_FIELD, tag='commands'
+):
     """What the target is to do, each part possibly empty."""
 
     start: tuple[wire.StartCommand, ...]
@@ -153,19 +158,19 @@
     clock: int
 
 
-class Expired(msgspec.Struct, frozen=True, tag_field='type', tag='expired'):
+class Expired(msgspec.Struct, frozen=True, tag_field=_TAG_FIELD, tag='expired'):
     """The session is over: stop everything, then open a new one."""
 
     clock: int
 
 
-class Move(msgspec.Struct, frozen=True, tag_field='type', tag='move'):
+class Move(msgspec.Struct, frozen=True, tag_field=_TAG_FIELD, tag='move'):
     """This entry is stopping: resume the session at another."""
 
     clock: int
 
 
-class Refused(msgspec.Struct, frozen=True, tag_field='type', tag='error'):
+class Refused(msgspec.Struct, frozen=True, tag_field=_TAG_FIELD, tag='error'):
     """Why the connection is being closed."""
 
     reason: str
--- a/mulberrywalk/entry/upstream.py
+++ b/mulberrywalk/entry/upstream.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import contextlib
 import dataclasses
 import itertools
 from collections.abc import Callable
+from types import MappingProxyType
 from typing import Any
 
 import anyio
@@ -18,6 +20,7 @@
 CURRENT_MS = 3000
 _REDIAL_S = 0.1
 
+Taker = Callable[[Any], None]
 ToLeader = channel.Stream[wire.FromEntryBatch, wire.ToEntryBatch]
 
 
@@ -26,7 +29,7 @@
 
     def __init__(self, address: str) -> None:
         """Keep the address to dial next."""
-        super().__init__(f'redirected to {address or "nobody"}')
+        super().__init__(f'redirected to {address}')
         self.address = address
 
 
@@ -64,6 +67,15 @@
         self._outbox: channel.Outbox[wire.FromEntry] = channel.Outbox()
         self._confirmed_at = -CURRENT_MS
         self._is_linked = False
+        self._takers: MappingProxyType[Any, Taker] = MappingProxyType(
+            {
+                wire.Redirect: self._follow,
+                wire.Reply: self._take_reply,
+                wire.LeaderPulse: self._take_pulse,
+                wire.ConfigurationChanged: self._take_configuration,
+                wire.MembersChanged: self._take_members,
+            }
+        )
 
     def is_current(self) -> bool:
         """Return whether the configuration was proved current lately."""
@@ -78,11 +90,10 @@
         pending = PendingCall(request)
         self._calls[ticket] = pending
         self._put(wire.Call(ticket, request))
-        try:
+        with contextlib.ExitStack() as stack:
+            stack.callback(self._calls.pop, ticket)
             with anyio.move_on_after(seconds):
                 await pending.done.wait()
-        finally:
-            self._calls.pop(ticket)
         return pending.body
 
     def send(self, message: wire.FromEntry) -> None:
@@ -155,19 +166,18 @@
         )
 
     def _receive(self, message: wire.ToEntry) -> None:
-        if isinstance(message, wire.Redirect):
-            raise RedirectError(message.address)
-        if isinstance(message, wire.Reply):
-            self._take_reply(message)
-        elif isinstance(message, wire.LeaderPulse):
-            self._take_pulse(message)
-        elif isinstance(message, wire.ConfigurationChanged):
-            self._take_configuration(message.configuration)
-        elif isinstance(message, wire.MembersChanged):
-            self.addresses = list(message.addresses) or self.addresses
+        taker = self._takers.get(type(message))
+        if taker is not None:
+            taker(message)
         elif self.hooks is not None:
             _take_for_targets(self.hooks, message)
 
+    def _follow(self, redirect: wire.Redirect) -> None:
+        raise RedirectError(redirect.address)
+
+    def _take_members(self, changed: wire.MembersChanged) -> None:
+        self.addresses = list(changed.addresses) or self.addresses
+
     def _take_reply(self, reply: wire.Reply) -> None:
         pending = self._calls.get(reply.ticket)
         if pending is not None:
@@ -179,10 +189,9 @@
         if current is not None and current.version == pulse.version:
             self._confirmed_at = max(self._confirmed_at, pulse.echo)
 
-    def _take_configuration(
-        self, received: configuration.Configuration
-    ) -> None:
+    def _take_configuration(self, changed: wire.ConfigurationChanged) -> None:
         # A deposed leader's stream may still deliver an older version.
+        received = changed.configuration
         current = self.configuration
         if current is None or received.version >= current.version:
             self.configuration = received
--- a/mulberrywalk/replica/engine.py
+++ b/mulberrywalk/replica/engine.py
@@ -12,8 +12,8 @@
 from collections.abc import Callable
 
 import anyio
-import anyio.to_thread
 import msgspec
+from anyio.to_thread import run_sync
 
 from ..consensus import message, node, raft
 from ..core import effect, event, outcome, reducer, snapshot, state
@@ -111,6 +111,10 @@
             and self.node.applied_index >= self.node.term_started_index
         )
 
+    def process(self) -> str:
+        """Return the name of this process."""
+        return self._journal.origin.process
+
     def backlog(self) -> int:
         """Return how many events wait for the log."""
         return len(self._proposals)
@@ -165,6 +169,16 @@
         for sent in effects:
             if isinstance(sent, node.Send) and not sent.is_after_sync:
                 self._send(sent)
+        applied: list[node.Effect] = []
+        if await self._save_all(effects):
+            last = self.node.log.last_index()
+            term = self.node.log.last_term()
+            applied = raft.step(self.node, node.Synced(last, term))
+        for effected in itertools.chain(effects, applied):
+            self._finish(effected)
+
+    async def _save_all(self, effects: list[node.Effect]) -> bool:
+        """Write and sync in order; return whether there was anything."""
         saves: list[node.SaveVote | node.SaveEntries] = []
         for effected in effects:
             if isinstance(effected, node.InstallSnapshot):
@@ -173,29 +187,26 @@
                 await self._install(effected.snapshot)
             elif isinstance(effected, node.SaveVote | node.SaveEntries):
                 saves.append(effected)
-        applied: list[node.Effect] = []
-        if saves:
-            await self._save(saves)
-            last = self.node.log.last_index()
-            term = self.node.log.last_term()
-            applied = raft.step(self.node, node.Synced(last, term))
-        for sent in itertools.chain(effects, applied):
-            self._finish(sent)
+        await self._save(saves)
+        return bool(saves)
 
     def _finish(self, effected: node.Effect) -> None:
-        if isinstance(effected, node.Send) and effected.is_after_sync:
-            self._send(effected)
+        if isinstance(effected, node.Send):
+            self._send_late(effected)
         elif isinstance(effected, node.Apply):
             self._apply(effected.entry)
         elif isinstance(effected, node.SendSnapshot):
             self._send_snapshot(effected)
         elif isinstance(effected, node.RoleChanged):
-            self._journal.record(
-                'role', f'{effected.role.value} in term {effected.term}'
-            )
+            role = effected.role.value
+            self._journal.record('role', f'{role} in term {effected.term}')
             self._give_up()
             self._changed()
 
+    def _send_late(self, sent: node.Send) -> None:
+        if sent.is_after_sync:
+            self._send(sent)
+
     def _send(self, sent: node.Send) -> None:
         if self.callbacks is not None:
             self.callbacks.send(sent.receiver, sent.body)
@@ -215,10 +226,10 @@
         self, saves: list[node.SaveVote | node.SaveEntries]
     ) -> None:
         if saves:
-            await anyio.to_thread.run_sync(self._disk.write, saves)
+            await run_sync(self._disk.write, saves)
 
     async def _install(self, received: message.Snapshot) -> None:
-        await anyio.to_thread.run_sync(self._disk.install_snapshot, received)
+        await run_sync(self._disk.install_snapshot, received)
         self.tables = snapshot.decode(received.payload)
         self._snapshot_index = received.index
         self._journal.record('snapshot installed', str(received.index))
@@ -233,7 +244,7 @@
         for position, occurred in enumerate(
             _events_decoder.decode(entry.payload)
         ):
-            self.tables, effects = reducer.reduce(self.tables, occurred)
+            _, effects = reducer.reduce(self.tables, occurred)
             if position < len(waiting):
                 waiting[position].told(_answer(effects))
             if self.node.role is node.Role.LEADER and self.callbacks:
@@ -253,10 +264,8 @@
             snapshot.encode(self.tables),
         )
         self._snapshot_index = applied
-        await anyio.to_thread.run_sync(self._disk.save_snapshot, taken)
-        await anyio.to_thread.run_sync(
-            self._disk.rotate, self.node.log.last_index() + 1
-        )
+        await run_sync(self._disk.save_snapshot, taken)
+        await run_sync(self._disk.rotate, self.node.log.last_index() + 1)
         kept = max(applied - _TRAILING_ENTRIES, 0)
         raft.step(self.node, node.Compacted(kept))
 
@@ -270,5 +279,5 @@
 def _answer(effects: list[effect.Effect]) -> outcome.Outcome:
     first = effects[0]
     if not isinstance(first, effect.Answer):
-        raise AssertionError('the first effect of an event is its answer')
+        raise TypeError('the first effect of an event is its answer')
     return first.outcome
--- a/mulberrywalk/replica/leader.py
+++ b/mulberrywalk/replica/leader.py
@@ -12,14 +12,12 @@
 from ..consensus import node, repair
 from ..core import effect, event, identity, outcome
 from ..telemetry import clock, journal, metric
-from ..transport import codec, wire
-from . import delivery, engine, lease, link, view
+from ..transport import wire
+from . import delivery, engine, lease, link, request
 
 _ROUND_S = 0.1
 _DISPATCH_MS = 250
 _REPAIR_MS = 1000
-_BACKLOG_LIMIT = 4000
-_RETRY_AFTER_MS = 1000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -49,7 +47,6 @@
         self._term = 0
         self._dispatched_at = 0
         self._repaired_at = 0
-        self._waiters: dict[identity.JobId, list[tuple[link.Link, int]]] = {}
         self._begin()
 
     async def run(self) -> None:
@@ -71,9 +68,9 @@
     def carry_out(self, effects: list[effect.Effect]) -> None:
         """Carry out the effects of one applied event."""
         for effected in effects:
-            handler = self._effects.get(type(effected))
-            if handler is not None:
-                handler(effected)
+            carry = self._effects.get(type(effected))
+            if carry is not None:
+                carry(effected)
 
     def join(self, request: wire.JoinRequest) -> wire.JoinReply:
         """Admit a replica with an empty disk as a spare."""
@@ -100,7 +97,9 @@
         self._delivery = delivery.Delivery(
             self._engine, self.links, self._leases
         )
-        self._waiters.clear()
+        self._requests = request.Requests(
+            self._engine, self.links, self._leases, self._metrics
+        )
         self._effects: MappingProxyType[Any, Callable[..., None]] = (
             MappingProxyType(
                 {
@@ -182,9 +181,7 @@
         if not self._engine.is_serving():
             return
         if isinstance(received, wire.Call):
-            _REQUESTS[type(received.request)](
-                self, origin, received.ticket, received.request
-            )
+            self._requests.take(origin, received)
         elif isinstance(received, wire.Renewals):
             self._renew(origin, received)
         elif isinstance(received, wire.Report):
@@ -236,139 +233,6 @@
         if isinstance(told, outcome.NotRun):
             origin.send(wire.Gone((session,)))
 
-    def _propose(
-        self, origin: link.Link, ticket: int, occurred: event.Event
-    ) -> None:
-        self._engine.propose(
-            occurred, lambda told: _reply_outcome(origin, ticket, told)
-        )
-
-    def submit(
-        self, origin: link.Link, ticket: int, request: wire.Submit
-    ) -> None:
-        """Propose a job, or refuse it at once under overload."""
-        if self._engine.backlog() > _BACKLOG_LIMIT:
-            self._metrics.incr('refused_overload')
-            refusal = outcome.NotRun(
-                outcome.RefusalReason.QUEUE_FULL,
-                'the leader has too many events to decide',
-                _RETRY_AFTER_MS,
-            )
-            _reply_outcome(origin, ticket, refusal)
-            return
-        self._metrics.incr('submitted')
-        self._propose(
-            origin,
-            ticket,
-            event.JobSubmitted(
-                clock.wall_ms(), request.specification, request.digest
-            ),
-        )
-
-    def cancel(
-        self, origin: link.Link, ticket: int, request: wire.Cancel
-    ) -> None:
-        """Propose the cancellation of a job."""
-        occurred = event.JobCancelled(clock.wall_ms(), request.job)
-        self._propose(origin, ticket, occurred)
-
-    def patch(
-        self,
-        origin: link.Link,
-        ticket: int,
-        request: wire.PatchConfiguration,
-    ) -> None:
-        """Propose a patch of the configuration."""
-        self._propose(
-            origin,
-            ticket,
-            event.ConfigurationPatched(
-                clock.wall_ms(),
-                request.request_id,
-                request.version,
-                request.changes,
-            ),
-        )
-
-    def open_session(
-        self, origin: link.Link, ticket: int, request: wire.OpenSession
-    ) -> None:
-        """Propose the session of a target that has announced itself."""
-        occurred = event.SessionOpened(clock.wall_ms(), request.announcement)
-        self._engine.propose(
-            occurred, lambda told: self._grant(origin, ticket, told)
-        )
-
-    def get_job(
-        self, origin: link.Link, ticket: int, request: wire.GetJob
-    ) -> None:
-        """Answer with a job, at its end when that is waited for."""
-        record = self._engine.tables.jobs.get(request.job)
-        if record is None:
-            _reply_not_found(origin, ticket, request.job)
-        elif request.is_waiting and record.unfinished:
-            waiters = self._waiters.setdefault(request.job, [])
-            waiters.append((origin, ticket))
-        else:
-            shown = view.show_job(self._engine.tables, record)
-            _reply(origin, ticket, {codec.TAG: 'job', **shown})
-
-    def explain(
-        self, origin: link.Link, ticket: int, request: wire.Explain
-    ) -> None:
-        """Answer why a job waits or where it ran."""
-        record = self._engine.tables.jobs.get(request.job)
-        if record is None:
-            _reply_not_found(origin, ticket, request.job)
-            return
-        explained = view.explain_job(self._engine.tables, record)
-        _reply(origin, ticket, {codec.TAG: 'explanation', **explained})
-
-    def get_configuration(
-        self,
-        origin: link.Link,
-        ticket: int,
-        request: wire.GetConfiguration,
-    ) -> None:
-        """Answer with the configuration and each process's version."""
-        current = self._engine.tables.configuration
-        shown = view.show_configuration(current)
-        reach = {one.process: one.version for one in self.links.open.values()}
-        reach[self._journal.origin.process] = current.version
-        _reply(
-            origin,
-            ticket,
-            {codec.TAG: 'configuration', **shown, 'reach': reach},
-        )
-
-    def get_members(
-        self, origin: link.Link, ticket: int, request: wire.GetMembers
-    ) -> None:
-        """Answer with the replicas and the entries that are linked."""
-        shown = view.show_members(self._engine.node)
-        entries = [
-            {'process': one.process, 'data_centre': one.data_centre}
-            for _, one in sorted(self.links.open.items())
-        ]
-        _reply(
-            origin, ticket, {codec.TAG: 'members', **shown, 'entries': entries}
-        )
-
-    def get_targets(
-        self, origin: link.Link, ticket: int, request: wire.GetTargets
-    ) -> None:
-        """Answer with all targets."""
-        shown = view.show_targets(self._engine.tables)
-        _reply(origin, ticket, {codec.TAG: 'targets', 'targets': shown})
-
-    def _grant(
-        self, origin: link.Link, ticket: int, told: outcome.Outcome | None
-    ) -> None:
-        if isinstance(told, outcome.SessionGranted):
-            now = clock.monotonic_ms()
-            self._leases.renew(told.session, origin.process, now)
-        _reply_outcome(origin, ticket, told)
-
     def _start(self, effected: effect.StartAttempt) -> None:
         self._metrics.incr('starts')
         attempt = effected.attempt
@@ -388,8 +252,7 @@
         self._leases.forget(effected.session)
 
     def _report_job_end(self, effected: effect.ReportJobEnd) -> None:
-        for origin, ticket in self._waiters.pop(effected.job, []):
-            self.get_job(origin, ticket, wire.GetJob(effected.job))
+        self._requests.answer_waiting(effected.job)
 
     def _publish(self, effected: effect.PublishConfiguration) -> None:
         current = self._engine.tables.configuration
@@ -406,40 +269,5 @@
         )
 
 
-_REQUESTS: MappingProxyType[Any, Callable[..., None]] = MappingProxyType(
-    {
-        wire.Submit: Leader.submit,
-        wire.Cancel: Leader.cancel,
-        wire.GetJob: Leader.get_job,
-        wire.Explain: Leader.explain,
-        wire.PatchConfiguration: Leader.patch,
-        wire.GetConfiguration: Leader.get_configuration,
-        wire.GetMembers: Leader.get_members,
-        wire.GetTargets: Leader.get_targets,
-        wire.OpenSession: Leader.open_session,
-    }
-)
-
-
 def _ignore(told: outcome.Outcome | None) -> None:
     """Take an outcome that nobody waits for."""
-
-
-def _reply(origin: link.Link, ticket: int, body: dict[str, Any]) -> None:
-    origin.send(wire.Reply(ticket, body))
-
-
-def _reply_outcome(
-    origin: link.Link, ticket: int, told: outcome.Outcome | None
-) -> None:
-    # Nothing is said when the outcome is open: the entry asks the next
-    # leader again under the same request id.
-    if told is not None:
-        _reply(origin, ticket, codec.to_builtins(told))
-
-
-def _reply_not_found(
-    origin: link.Link, ticket: int, name: identity.JobId
-) -> None:
-    refusal = outcome.NotRun(outcome.RefusalReason.NOT_FOUND, f'no job {name}')
-    _reply_outcome(origin, ticket, refusal)
--- a/mulberrywalk/replica/peer.py
+++ b/mulberrywalk/replica/peer.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 import anyio
-import anyio.abc
+from anyio.abc import TaskGroup
 
 from ..consensus import message, node
 from ..telemetry import journal
@@ -24,7 +24,7 @@
         self,
         running: engine.Engine,
         lines: journal.Journal,
-        group: anyio.abc.TaskGroup,
+        group: TaskGroup,
     ) -> None:
         """Prepare; streams are dialled as messages are first sent."""
         self._engine = running
@@ -50,7 +50,8 @@
             f'{one.identity}@{one.address}'
             for one in self._engine.node.membership.members
         }
-        for key in [one for one in self._outboxes if one not in kept]:
+        removed = set(self._outboxes) - kept
+        for key in removed:
             self._outboxes.pop(key)
             scope = self._scopes.pop(key, None)
             if scope is not None:
--- a/mulberrywalk/replica/program.py
+++ b/mulberrywalk/replica/program.py
@@ -9,9 +9,9 @@
 from typing import Annotated
 
 import anyio
-import anyio.abc
 import msgspec
 import typer
+from anyio.abc import TaskGroup
 
 from ..consensus import message, node
 from ..storage import disk as storage
@@ -25,6 +25,7 @@
 _JOIN_S = 0.5
 _LOG_FORMATS = frozenset(('text', 'json'))
 _LONGEST_MS = 86_400_000
+_MOST_ENTRIES = 10_000_000
 
 application = typer.Typer(add_completion=False, no_args_is_help=True)
 
@@ -117,7 +118,7 @@
             ),
         ),
         snapshot_entries=checker.number(
-            '--snapshot-entries', snapshot_entries, 10, 10_000_000
+            '--snapshot-entries', snapshot_entries, 10, _MOST_ENTRIES
         ),
     )
     checker.finish()
@@ -240,7 +241,7 @@
 async def _stop_on_signal(
     running: engine.Engine,
     lines: journal.Journal,
-    group: anyio.abc.TaskGroup,
+    group: TaskGroup,
 ) -> None:
     """Hand over and stop on SIGTERM; a second signal stops at once."""
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
@@ -252,9 +253,7 @@
             group.cancel_scope.cancel()
 
 
-async def _hand_over(
-    running: engine.Engine, group: anyio.abc.TaskGroup
-) -> None:
+async def _hand_over(running: engine.Engine, group: TaskGroup) -> None:
     with anyio.move_on_after(_HANDOVER_S):
         running.enter(node.HandoverProposed())
         while running.node.role is node.Role.LEADER:
--- /dev/null
+++ b/mulberrywalk/replica/request.py
@@ -0,0 +1,213 @@
+"""The requests of entries, as the leader answers them."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from types import MappingProxyType
+from typing import Any
+
+from ..core import event, identity, outcome
+from ..telemetry import clock, metric
+from ..transport import codec, wire
+from . import engine, lease, link, view
+
+_BACKLOG_LIMIT = 4000
+_RETRY_AFTER_MS = 1000
+
+Waiter = tuple[link.Link, int]
+
+
+class Requests:
+    """Answers reads from the state and proposes the rest as events."""
+
+    def __init__(
+        self,
+        running: engine.Engine,
+        links: link.Links,
+        leases: lease.Leases,
+        metrics: metric.Metrics,
+    ) -> None:
+        """Start without callers that wait."""
+        self._engine = running
+        self._links = links
+        self._leases = leases
+        self._metrics = metrics
+        self._waiters: dict[identity.JobId, list[Waiter]] = {}
+
+    def take(self, origin: link.Link, call: wire.Call) -> None:
+        """Answer a call, now or when its event is committed."""
+        answer = _ANSWERS[type(call.request)]
+        answer(self, origin, call.ticket, call.request)
+
+    def answer_waiting(self, job: identity.JobId) -> None:
+        """Answer those that wait for the end of a job."""
+        for origin, ticket in self._waiters.pop(job, []):
+            self.answer_job(origin, ticket, wire.GetJob(job))
+
+    def submit(
+        self, origin: link.Link, ticket: int, request: wire.Submit
+    ) -> None:
+        """Propose a job, or refuse it at once under overload."""
+        if self._engine.backlog() > _BACKLOG_LIMIT:
+            self._metrics.incr('refused_overload')
+            refusal = outcome.NotRun(
+                outcome.RefusalReason.QUEUE_FULL,
+                'the leader has too many events to decide',
+                _RETRY_AFTER_MS,
+            )
+            _reply_outcome(origin, ticket, refusal)
+            return
+        self._metrics.incr('submitted')
+        self._propose(
+            origin,
+            ticket,
+            event.JobSubmitted(
+                clock.wall_ms(), request.specification, request.digest
+            ),
+        )
+
+    def cancel(
+        self, origin: link.Link, ticket: int, request: wire.Cancel
+    ) -> None:
+        """Propose the cancellation of a job."""
+        occurred = event.JobCancelled(clock.wall_ms(), request.job)
+        self._propose(origin, ticket, occurred)
+
+    def patch(
+        self,
+        origin: link.Link,
+        ticket: int,
+        request: wire.PatchConfiguration,
+    ) -> None:
+        """Propose a patch of the configuration."""
+        self._propose(
+            origin,
+            ticket,
+            event.ConfigurationPatched(
+                clock.wall_ms(),
+                request.request_id,
+                request.version,
+                request.changes,
+            ),
+        )
+
+    def open_session(
+        self, origin: link.Link, ticket: int, request: wire.OpenSession
+    ) -> None:
+        """Propose the session of a target that has announced itself."""
+        occurred = event.SessionOpened(clock.wall_ms(), request.announcement)
+        self._engine.propose(
+            occurred, lambda told: self._grant(origin, ticket, told)
+        )
+
+    def answer_job(
+        self, origin: link.Link, ticket: int, request: wire.GetJob
+    ) -> None:
+        """Answer with a job, at its end when that is waited for."""
+        record = self._engine.tables.jobs.get(request.job)
+        if record is None:
+            _reply_not_found(origin, ticket, request.job)
+        elif request.is_waiting and record.unfinished:
+            waiters = self._waiters.setdefault(request.job, [])
+            waiters.append((origin, ticket))
+        else:
+            shown = view.show_job(self._engine.tables, record)
+            _reply(origin, ticket, {codec.TAG: 'job', **shown})
+
+    def explain(
+        self, origin: link.Link, ticket: int, request: wire.Explain
+    ) -> None:
+        """Answer why a job waits or where it ran."""
+        record = self._engine.tables.jobs.get(request.job)
+        if record is None:
+            _reply_not_found(origin, ticket, request.job)
+            return
+        explained = view.explain_job(self._engine.tables, record)
+        _reply(origin, ticket, {codec.TAG: 'explanation', **explained})
+
+    def answer_configuration(
+        self,
+        origin: link.Link,
+        ticket: int,
+        request: wire.GetConfiguration,
+    ) -> None:
+        """Answer with the configuration and each process's version."""
+        current = self._engine.tables.configuration
+        shown = view.show_configuration(current)
+        reach = {one.process: one.version for one in self._links.open.values()}
+        reach[self._engine.process()] = current.version
+        _reply(
+            origin,
+            ticket,
+            {codec.TAG: 'configuration', **shown, 'reach': reach},
+        )
+
+    def answer_members(
+        self, origin: link.Link, ticket: int, request: wire.GetMembers
+    ) -> None:
+        """Answer with the replicas and the entries that are linked."""
+        shown = view.show_members(self._engine.node)
+        entries = [
+            {'process': one.process, 'data_centre': one.data_centre}
+            for _, one in sorted(self._links.open.items())
+        ]
+        _reply(
+            origin, ticket, {codec.TAG: 'members', **shown, 'entries': entries}
+        )
+
+    def answer_targets(
+        self, origin: link.Link, ticket: int, request: wire.GetTargets
+    ) -> None:
+        """Answer with all targets."""
+        shown = view.show_targets(self._engine.tables)
+        _reply(origin, ticket, {codec.TAG: 'targets', 'targets': shown})
+
+    def _grant(
+        self, origin: link.Link, ticket: int, told: outcome.Outcome | None
+    ) -> None:
+        if isinstance(told, outcome.SessionGranted):
+            now = clock.monotonic_ms()
+            self._leases.renew(told.session, origin.process, now)
+        _reply_outcome(origin, ticket, told)
+
+    def _propose(
+        self, origin: link.Link, ticket: int, occurred: event.Event
+    ) -> None:
+        self._engine.propose(
+            occurred, lambda told: _reply_outcome(origin, ticket, told)
+        )
+
+
+_ANSWERS: MappingProxyType[Any, Callable[..., None]] = MappingProxyType(
+    {
+        wire.Submit: Requests.submit,
+        wire.Cancel: Requests.cancel,
+        wire.GetJob: Requests.answer_job,
+        wire.Explain: Requests.explain,
+        wire.PatchConfiguration: Requests.patch,
+        wire.GetConfiguration: Requests.answer_configuration,
+        wire.GetMembers: Requests.answer_members,
+        wire.GetTargets: Requests.answer_targets,
+        wire.OpenSession: Requests.open_session,
+    }
+)
+
+
+def _reply(origin: link.Link, ticket: int, body: dict[str, Any]) -> None:
+    origin.send(wire.Reply(ticket, body))
+
+
+def _reply_outcome(
+    origin: link.Link, ticket: int, told: outcome.Outcome | None
+) -> None:
+    # Nothing is said when the outcome is open: the entry asks the next
+    # leader again under the same request id.
+    if told is not None:
+        _reply(origin, ticket, codec.to_builtins(told))
+
+
+def _reply_not_found(
+    origin: link.Link, ticket: int, name: identity.JobId
+) -> None:
+    refusal = outcome.NotRun(outcome.RefusalReason.NOT_FOUND, f'no job {name}')
+    _reply_outcome(origin, ticket, refusal)
--- a/mulberrywalk/replica/view.py
+++ b/mulberrywalk/replica/view.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import itertools
 from typing import Any
 
 import msgspec
@@ -130,11 +131,13 @@
 ) -> list[str]:
     """Return the resources that most targets lack."""
     is_aside = task.task in tables.waiting.aside
-    lacking = collections.Counter(
-        name
+    amounts = [
+        cell.capacity if is_aside else cell.free
         for cell in tables.fleet.cells.values()
-        for name in resource.lacking(
-            demand, cell.capacity if is_aside else cell.free
+    ]
+    lacking = collections.Counter(
+        itertools.chain.from_iterable(
+            resource.lacking(demand, amount) for amount in amounts
         )
     )
     return [name for name, _ in lacking.most_common()]
--- a/mulberrywalk/storage/disk.py
+++ b/mulberrywalk/storage/disk.py
@@ -8,12 +8,14 @@
 
 from __future__ import annotations
 
+import contextlib
 import dataclasses
 import itertools
 import os
 import pathlib
 import re
 import secrets
+from collections.abc import Iterator
 from typing import TypeAlias
 
 import msgspec
@@ -23,8 +25,11 @@
 from . import frame
 
 SEGMENT_BYTES = 8_388_608
+_FILE_MODE = 0o644
 _IDENTITY = 'identity.json'
 _SNAPSHOT = 'snapshot.bin'
+_SEQUENCE_DIGITS = 10
+_INDEX_DIGITS = 16
 _SEGMENT = re.compile(r'log-(\d{10})-(\d{16})\.wal')
 
 
@@ -164,7 +169,7 @@
         _replace(self._folder / _SNAPSHOT, payload)
         self._snapshot = snapshot
         segments = _segments(self._folder)
-        for path, following in zip(segments, segments[1:], strict=False):
+        for path, following in itertools.pairwise(segments):
             if _first_index(following) <= snapshot.index + 1:
                 path.unlink()
         _sync_folder(self._folder)
@@ -193,10 +198,11 @@
         if self._descriptor >= 0:
             os.close(self._descriptor)
         self._sequence += 1
-        name = f'log-{self._sequence:010d}-{next_index:016d}.wal'
-        path = self._folder / name
+        number = str(self._sequence).zfill(_SEQUENCE_DIGITS)
+        first = str(next_index).zfill(_INDEX_DIGITS)
+        path = self._folder / f'log-{number}-{first}.wal'
         flags = os.O_WRONLY | os.O_CREAT | os.O_APPEND
-        self._descriptor = os.open(path, flags, 0o644)
+        self._descriptor = os.open(path, flags, _FILE_MODE)
         self._written = os.fstat(self._descriptor).st_size
         _sync_folder(self._folder)
         # Each segment repeats the vote, so that older ones may be deleted.
@@ -239,12 +245,9 @@
 
 
 def _cut(path: pathlib.Path, length: int) -> None:
-    descriptor = os.open(path, os.O_WRONLY)
-    try:
+    with _opened(path, os.O_WRONLY) as descriptor:
         os.ftruncate(descriptor, length)
         os.fsync(descriptor)
-    finally:
-        os.close(descriptor)
 
 
 def _replay(
@@ -256,7 +259,8 @@
     if not fresh:
         return
     if fresh[0].index > log.last_index() + 1:
-        raise StorageError(f'{path} lacks entry {log.last_index() + 1}')
+        missing = log.last_index() + 1
+        raise StorageError(f'{path} lacks entry {missing}')
     log.truncate(fresh[0].index)
     for entry in fresh:
         log.append(entry)
@@ -283,18 +287,12 @@
 def _replace(path: pathlib.Path, payload: bytes) -> None:
     # Written beside and renamed, so that a crash leaves the old or the new.
     temporary = path.with_suffix('.new')
+    flags = os.O_WRONLY | os.O_CREAT | os.O_TRUNC
     try:
-        descriptor = os.open(
-            temporary, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o644
-        )
-    except OSError as error:
-        raise StorageError(f'{path}: {error}') from error
-    try:
-        _write_all(descriptor, payload)
+        with _opened(temporary, flags) as descriptor:
+            _write_all(descriptor, payload)
     except OSError as error:
         raise StorageError(f'{path}: {error}') from error
-    finally:
-        os.close(descriptor)
     temporary.replace(path)
     _sync_folder(path.parent)
 
@@ -307,8 +305,13 @@
 
 
 def _sync_folder(folder: pathlib.Path) -> None:
-    descriptor = os.open(folder, os.O_RDONLY)
-    try:
+    with _opened(folder, os.O_RDONLY) as descriptor:
         os.fsync(descriptor)
-    finally:
-        os.close(descriptor)
+
+
+@contextlib.contextmanager
+def _opened(path: pathlib.Path, flags: int) -> Iterator[int]:
+    descriptor = os.open(path, flags, _FILE_MODE)
+    with contextlib.ExitStack() as stack:
+        stack.callback(os.close, descriptor)
+        yield descriptor
--- a/mulberrywalk/telemetry/journal.py
+++ b/mulberrywalk/telemetry/journal.py
@@ -121,9 +121,9 @@
     at = clock.wall_of(line.clock)
     if at < wanted.since or (wanted.until and at > wanted.until):
         return False
-    if wanted.job and wanted.job not in {line.job, line.task.split('.')[0]}:
-        return False
-    return wanted.task in {'', line.task} and wanted.target in {
-        '',
-        line.target,
-    }
+    job = line.job or line.task.split('.')[0]
+    return (
+        wanted.job in {'', job}
+        and wanted.task in {'', line.task}
+        and wanted.target in {'', line.target}
+    )
--- a/mulberrywalk/telemetry/metric.py
+++ b/mulberrywalk/telemetry/metric.py
@@ -10,26 +10,26 @@
 class Metrics(Protocol):
     """Counters, gauges and timings of a process."""
 
-    def incr(self, stat: str, count: int = 1) -> None:
+    def incr(self, stat: str, count: int = 1, /) -> None:
         """Add to a counter."""
 
-    def gauge(self, stat: str, value: float) -> None:
+    def gauge(self, stat: str, amount: float) -> None:
         """Set a gauge."""
 
-    def timing(self, stat: str, delta: float) -> None:
+    def timing(self, stat: str, delta: float, /) -> None:
         """Record a duration in milliseconds."""
 
 
 class NoMetrics:
     """Takes metrics and drops them."""
 
-    def incr(self, stat: str, count: int = 1) -> None:
+    def incr(self, stat: str, count: int = 1, /) -> None:
         """Do nothing."""
 
-    def gauge(self, stat: str, value: float) -> None:
+    def gauge(self, stat: str, amount: float) -> None:
         """Do nothing."""
 
-    def timing(self, stat: str, delta: float) -> None:
+    def timing(self, stat: str, delta: float, /) -> None:
         """Do nothing."""
 
 
--- a/mulberrywalk/transport/channel.py
+++ b/mulberrywalk/transport/channel.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import collections
 from collections.abc import Awaitable, Callable
 from types import MappingProxyType
@@ -9,7 +10,6 @@
 
 import anyio
 import grpc
-import grpc.aio
 import msgspec
 
 SILENCE_S = 1.5
@@ -33,10 +33,18 @@
     ('grpc.initial_reconnect_backoff_ms', 100),
 )
 
+# What a stream raises once its other end is gone.
+_BROKEN = (
+    grpc.RpcError,
+    grpc.aio.UsageError,
+    asyncio.InvalidStateError,
+    RuntimeError,
+)
+
 Sent = TypeVar('Sent')
 Got = TypeVar('Got')
-Handler = Callable[[bytes], Awaitable[bytes]]
-StreamHandler = Callable[[Any], Awaitable[None]]
+Method = Callable[[bytes], Awaitable[bytes]]
+StreamMethod = Callable[[Any], Awaitable[None]]
 
 
 class Outbox(Generic[Sent]):
@@ -80,7 +88,7 @@
         with anyio.move_on_after(SILENCE_S):
             try:
                 await self._raw.write(encoded)
-            except (grpc.RpcError, grpc.aio.UsageError, RuntimeError) as error:
+            except _BROKEN as error:
                 raise ConnectionError(str(error)) from error
             return
         raise ConnectionError(f'nothing left for {SILENCE_S} s')
@@ -90,7 +98,7 @@
         with anyio.move_on_after(SILENCE_S):
             try:
                 encoded = await self._raw.read()
-            except (grpc.RpcError, grpc.aio.UsageError, RuntimeError) as error:
+            except _BROKEN as error:
                 raise ConnectionError(str(error)) from error
             if encoded is grpc.aio.EOF:
                 raise ConnectionError('the other end has closed the stream')
@@ -131,18 +139,18 @@
 
     async def start(
         self,
-        streams: MappingProxyType[str, StreamHandler],
-        calls: MappingProxyType[str, Handler],
+        streams: MappingProxyType[str, StreamMethod],
+        calls: MappingProxyType[str, Method],
     ) -> None:
         """Listen; raises OSError when the address cannot be had."""
         handlers: dict[str, Any] = {
-            name: grpc.stream_stream_rpc_method_handler(_stream(handler))
-            for name, handler in streams.items()
+            name: grpc.stream_stream_rpc_method_handler(_stream(method))
+            for name, method in streams.items()
         }
         handlers.update(
             {
-                name: grpc.unary_unary_rpc_method_handler(_call(handler))
-                for name, handler in calls.items()
+                name: grpc.unary_unary_rpc_method_handler(_call(method))
+                for name, method in calls.items()
             }
         )
         generic = grpc.method_handlers_generic_handler(SERVICE, handlers)
@@ -158,15 +166,15 @@
         await self._server.stop(grace=0)
 
 
-def _stream(handler: StreamHandler) -> Any:
+def _stream(method: StreamMethod) -> Any:
     async def serve(_: Any, context: Any) -> None:
-        await handler(context)
+        await method(context)
 
     return serve
 
 
-def _call(handler: Handler) -> Any:
+def _call(method: Method) -> Any:
     async def serve(encoded: bytes, _: Any) -> bytes:
-        return await handler(encoded)
+        return await method(encoded)
 
     return serve
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Features and histories over real processes."""
