--- a/mulberrywalk/entry/caller.py
+++ b/mulberrywalk/entry/caller.py
@@ -79,6 +79,9 @@
             self._route('/v1/configuration', self.patch_configuration, 'PATCH'),
             self._route('/v1/members', self.get_members, 'GET'),
             self._route('/v1/targets', self.list_targets, 'GET'),
+            self._route(
+                '/v1/targets/{target}/departure', self.drain_target, 'POST'
+            ),
             self._route('/v1/timeline', self.get_timeline, 'GET'),
             routing.Route('/v1/health', self.get_health, methods=['GET']),
             routing.Route('/v1/ready', self.get_readiness, methods=['GET']),
@@ -178,6 +181,13 @@
         """Return all targets."""
         return await self._ask(wire.GetTargets())
 
+    async def drain_target(
+        self, request: requests.Request
+    ) -> responses.Response:
+        """Let a target take no new work from now on."""
+        name = identity.TargetId(request.path_params['target'])
+        return await self._ask(wire.DrainTarget(name), name)
+
     async def get_timeline(
         self, request: requests.Request
     ) -> responses.Response:
--- a/mulberrywalk/replica/request.py
+++ b/mulberrywalk/replica/request.py
@@ -162,6 +162,21 @@
         shown = view.show_targets(self._engine.tables)
         _reply(origin, ticket, {codec.TAG: 'targets', 'targets': shown})
 
+    def drain_target(
+        self, origin: link.Link, ticket: int, request: wire.DrainTarget
+    ) -> None:
+        """Propose the departure of a target that an operator has named."""
+        record = self._engine.tables.targets.get(request.target)
+        if record is None or record.session is None:
+            refusal = outcome.NotRun(
+                outcome.RefusalReason.NOT_FOUND,
+                f'no target {request.target} has a session',
+            )
+            _reply_outcome(origin, ticket, refusal)
+            return
+        occurred = event.DepartureAnnounced(clock.wall_ms(), record.session)
+        self._propose(origin, ticket, occurred)
+
     def _grant(
         self, origin: link.Link, ticket: int, told: outcome.Outcome | None
     ) -> None:
@@ -189,6 +204,7 @@
         wire.GetMembers: Requests.answer_members,
         wire.GetTargets: Requests.answer_targets,
         wire.OpenSession: Requests.open_session,
+        wire.DrainTarget: Requests.drain_target,
     }
 )
 
--- /dev/null
+++ b/mulberrywalk/tools/load.py
@@ -0,0 +1,162 @@
+"""Load generation: over the reducer alone, or over running processes."""
+
+from __future__ import annotations
+
+import itertools
+import pathlib
+import sys
+import time
+from typing import Annotated
+
+import anyio
+import httpx
+import msgspec
+import typer
+from rich.console import Console
+from rich.table import Table
+
+from . import baseline, mix, replay, report
+
+_ANSWER_S = 60.0
+_MS_PER_S = 1000
+_SETTLE_MS = 60_000
+_OK = 200
+_CONNECTIONS = 200
+_WIDTH = 120
+_REPORT = pathlib.Path('run/load')
+_FAMILIES = ('submitted', 'refused', 'completed')
+
+application = typer.Typer(
+    add_completion=False, no_args_is_help=True, help=__doc__
+)
+
+MixFile = Annotated[pathlib.Path, typer.Argument(metavar='MIX')]
+Folder = Annotated[
+    pathlib.Path, typer.Option('--report', help='Folder for the report.')
+]
+
+
+@application.command('replay')
+def run_replay(
+    path: MixFile,
+    seed: int = 1,
+    folder: Folder = _REPORT,
+) -> None:
+    """Replay a mix over the reducer: without and with its flood.
+
+    The same arrivals are given to a first-come first-fit baseline.
+    """
+    flooded = mix.load(path)
+    calm = msgspec.structs.replace(flooded, flood=None)
+    runs = [
+        _replay_one('calm', calm, seed),
+        _replay_baseline('first fit, calm', calm, seed),
+    ]
+    if flooded.flood is not None:
+        runs.append(_replay_one('flood', flooded, seed))
+        runs.append(_replay_baseline('first fit, flood', flooded, seed))
+    _finish(report.Report(_command(), seed, tuple(runs)), folder)
+
+
+@application.command('run')
+def run_processes(
+    path: MixFile,
+    entries: Annotated[str, typer.Option(envvar='MULBERRYWALK_ENTRIES')],
+    seed: int = 1,
+    folder: Folder = _REPORT,
+) -> None:
+    """Submit a mix to running entries, open loop, and time the answers.
+
+    Arrivals do not wait for answers; waits count from the intended start.
+    """
+    planned = mix.load(path)
+    addresses = tuple(entries.split(','))
+    seen = anyio.run(_submit_all, planned, addresses, seed)
+    runs = (report.summarize('processes', seen),)
+    _finish(report.Report(_command(), seed, runs), folder)
+
+
+def _replay_one(name: str, planned: mix.Mix, seed: int) -> report.RunReport:
+    running = replay.Replay(planned.plan())
+    until = planned.duration_ms + _SETTLE_MS
+    return report.summarize(
+        name, running.run(mix.arrivals(planned, seed), until)
+    )
+
+
+def _replay_baseline(
+    name: str, planned: mix.Mix, seed: int
+) -> report.RunReport:
+    running = baseline.FirstFit(planned.plan())
+    until = planned.duration_ms + _SETTLE_MS
+    return report.summarize(
+        name, running.run(mix.arrivals(planned, seed), until)
+    )
+
+
+async def _submit_all(
+    planned: mix.Mix, addresses: tuple[str, ...], seed: int
+) -> replay.Seen:
+    seen = replay.Seen()
+    turns = itertools.cycle(addresses)
+    limits = httpx.Limits(max_connections=_CONNECTIONS)
+    began_at = time.monotonic()
+    async with (
+        httpx.AsyncClient(timeout=_ANSWER_S, limits=limits) as client,
+        anyio.create_task_group() as group,
+    ):
+        for arrival in mix.arrivals(planned, seed):
+            due_at = began_at + arrival.at / _MS_PER_S
+            await anyio.sleep(max(0, due_at - time.monotonic()))
+            url = f'http://{next(turns)}/v1/jobs?wait={_ANSWER_S}'
+            group.start_soon(_submit, client, url, arrival, due_at, seen)
+    return seen
+
+
+async def _submit(
+    client: httpx.AsyncClient,
+    url: str,
+    arrival: replay.Arrival,
+    due_at: float,
+    seen: replay.Seen,
+) -> None:
+    count = len(arrival.specification.tasks)
+    seen.submitted[arrival.label] += count
+    body = msgspec.json.encode(arrival.specification)
+    try:
+        answered = await client.post(url, content=body)
+    except httpx.TransportError:
+        return
+    if answered.status_code != _OK:
+        seen.refused[arrival.label] += count
+        return
+    answer_ms = round((time.monotonic() - due_at) * _MS_PER_S)
+    seen.waits[arrival.label].append(max(0, answer_ms - arrival.run_ms))
+    seen.completed[arrival.label] += count
+    seen.starts += count
+
+
+def _finish(made: report.Report, folder: pathlib.Path) -> None:
+    report.write(made, folder)
+    table = Table(
+        'run', 'work', *_FAMILIES, 'wait p50', 'wait p99', 'wait max', 'packed'
+    )
+    for run in made.runs:
+        for work in run.works:
+            cells = msgspec.structs.astuple(work)
+            texts = [str(cell) for cell in cells]
+            table.add_row(run.name, *texts, f'{run.packed_percent} %')
+    Console(width=_WIDTH).print(table)
+
+
+def _command() -> str:
+    return ' '.join(('mulberrywalk-load', *sys.argv[1:]))
+
+
+def main() -> None:
+    """Run the command line."""
+    application()
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/mulberrywalk/tools/mix.py
@@ -0,0 +1,133 @@
+"""Workload mixes: which jobs arrive when, from a seed."""
+
+from __future__ import annotations
+
+import json
+import pathlib
+import random
+from collections.abc import Iterator
+
+import msgspec
+
+from ..core import job, resource
+from . import replay
+
+MEBIBYTE_BITS = 20
+
+
+class Work(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """One kind of work; share is its part of the cell's processors.
+
+    run_ms is the mean of an exponential distribution, at least a tenth of it.
+    declared_factor is by how much the declared run time is off.
+    """
+
+    label: str
+    kind: job.Kind
+    urgency: job.Urgency
+    team: job.Name
+    share: float
+    millicores: tuple[int, ...]
+    memory_mb: tuple[int, ...]
+    run_ms: int
+    tasks: int = 1
+    declared_factor: float = 1.0
+
+
+class Flood(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Work that arrives at a multiple of what the cell can hold."""
+
+    work: Work
+    from_ms: int
+    until_ms: int
+
+
+class Mix(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A deployment and its work."""
+
+    name: str
+    targets: int
+    millicores: int
+    memory_mb: int
+    slots: int
+    rack_size: int
+    data_centres: int
+    duration_ms: int
+    works: tuple[Work, ...]
+    flood: Flood | None = None
+
+    def plan(self) -> replay.FleetPlan:
+        """Return the fleet of the deployment."""
+        capacity = resource.Resources(
+            self.millicores, self.memory_mb << MEBIBYTE_BITS, 0, self.slots
+        )
+        return replay.FleetPlan(
+            self.targets, capacity, self.rack_size, self.data_centres
+        )
+
+
+def load(path: pathlib.Path) -> Mix:
+    """Read a mix from a JSON file; raises msgspec.ValidationError."""
+    return msgspec.json.decode(path.read_bytes(), type=Mix)
+
+
+def arrivals(planned: Mix, seed: int) -> list[replay.Arrival]:
+    """Return the jobs of a mix in order of their arrival."""
+    made = [
+        arrival
+        for number, work in enumerate(planned.works)
+        for arrival in _arrive(
+            planned,
+            work,
+            random.Random(seed * 1000 + number),  # noqa: S311
+            (0, planned.duration_ms),
+        )
+    ]
+    if planned.flood is not None:
+        flood = planned.flood
+        dice = random.Random(seed * 1000 - 1)  # noqa: S311
+        window = (flood.from_ms, flood.until_ms)
+        made.extend(_arrive(planned, flood.work, dice, window))
+    return sorted(made, key=lambda arrival: arrival.at)
+
+
+def _arrive(
+    planned: Mix,
+    work: Work,
+    dice: random.Random,
+    window: tuple[int, int],
+) -> Iterator[replay.Arrival]:
+    mean_millicores = sum(work.millicores) / len(work.millicores)
+    a_job = mean_millicores * work.run_ms * work.tasks
+    offered = planned.targets * planned.millicores * work.share
+    gap_ms = a_job / offered
+    at = float(window[0])
+    number = 0
+    while True:
+        at += dice.expovariate(1 / gap_ms)
+        if at >= window[1]:
+            return
+        number += 1
+        yield _make(work, dice, round(at), number)
+
+
+def _make(
+    work: Work, dice: random.Random, at: int, number: int
+) -> replay.Arrival:
+    run_ms = max(work.run_ms // 10, round(dice.expovariate(1 / work.run_ms)))
+    needs = job.TaskSpecification(
+        millicores=dice.choice(work.millicores),
+        memory_bytes=dice.choice(work.memory_mb) << MEBIBYTE_BITS,
+        estimate_ms=max(1, round(run_ms * work.declared_factor)),
+        payload=json.dumps(
+            {'run_ms': run_ms, 'label': f'{work.label}{number}'}
+        ),
+    )
+    specification = job.Specification(
+        request_id=f'{work.label}-{number}'.replace(' ', '-'),
+        team=work.team,
+        kind=work.kind,
+        tasks=(needs,) * work.tasks,
+        urgency=work.urgency,
+    )
+    return replay.Arrival(at, work.label, specification, run_ms)
--- a/mulberrywalk/tools/replay.py
+++ b/mulberrywalk/tools/replay.py
@@ -90,9 +90,7 @@
 
     def run(self, arrivals: Iterable[Arrival], until: int) -> Seen:
         """Replay arrivals in order of time; stop at a time in ms."""
-        for at, batch in itertools.groupby(
-            arrivals, key=lambda arrival: arrival.at // BATCH_MS * BATCH_MS
-        ):
+        for at, batch in itertools.groupby(arrivals, key=_batch_of):
             self._run_timers(at)
             self._now = max(self._now, at)
             for arrival in batch:
@@ -184,12 +182,17 @@
             self.seen.completed[arrival.label] += count
 
 
+def _batch_of(arrival: Arrival) -> int:
+    return arrival.at // BATCH_MS * BATCH_MS
+
+
 def announce(plan: FleetPlan, number: int) -> event.Announcement:
     """Return the announcement of one target of a fleet."""
     rack = number // plan.rack_size
+    centre = rack % plan.data_centres
     return event.Announcement(
         target=identity.TargetId(f't{number}'),
-        data_centre=identity.DataCentre(f'dc{rack % plan.data_centres}'),
+        data_centre=identity.DataCentre(f'dc{centre}'),
         rack=identity.Rack(f'rack{rack}'),
         capacity=plan.capacity,
         nonce=f'n{number}',
--- /dev/null
+++ b/mulberrywalk/tools/report.py
@@ -0,0 +1,120 @@
+"""Reports of load: the four measures as JSON and as one HTML page."""
+
+from __future__ import annotations
+
+import pathlib
+import statistics
+
+import msgspec
+from hdrh import histogram
+from plotly import graph_objects, io
+
+from . import replay
+
+_LONGEST_MS = 86_400_000
+_DIGITS = 3
+_PERCENT = 100
+_PPM_PER_PERCENT = 10_000
+_MEDIAN = 50
+_TAIL = 99
+
+
+class WorkReport(msgspec.Struct, frozen=True):
+    """What one kind of work has seen; waits in milliseconds."""
+
+    label: str
+    submitted: int
+    refused: int
+    completed: int
+    wait_p50: float
+    wait_p99: float
+    wait_max: float
+
+
+class RunReport(msgspec.Struct, frozen=True):
+    """One run; packed_percent is the used part while work waited."""
+
+    name: str
+    works: tuple[WorkReport, ...]
+    packed_percent: float
+    starts: int
+
+
+class Report(msgspec.Struct, frozen=True):
+    """Runs that are compared, and the command that made them."""
+
+    command: str
+    seed: int
+    runs: tuple[RunReport, ...]
+
+
+def summarize(name: str, seen: replay.Seen) -> RunReport:
+    """Return the report of one run."""
+    works = tuple(
+        summarize_work(label, seen) for label in sorted(seen.submitted)
+    )
+    packed = (
+        statistics.fmean(seen.packed) / _PPM_PER_PERCENT if seen.packed else 0
+    )
+    return RunReport(name, works, round(packed, 1), seen.starts)
+
+
+def summarize_work(label: str, seen: replay.Seen) -> WorkReport:
+    """Return what one kind of work has seen."""
+    counted = histogram.HdrHistogram(1, _LONGEST_MS, _DIGITS)
+    for wait in seen.waits[label]:
+        # The histogram starts at one: a wait of nothing counts as that.
+        counted.record_value(max(1, wait))
+    return WorkReport(
+        label,
+        seen.submitted[label],
+        seen.refused[label],
+        seen.completed[label],
+        counted.get_value_at_percentile(_MEDIAN),
+        counted.get_value_at_percentile(_TAIL),
+        counted.get_max_value(),
+    )
+
+
+def write(report: Report, folder: pathlib.Path) -> None:
+    """Write report.json and report.html into a folder."""
+    folder.mkdir(parents=True, exist_ok=True)
+    encoded = msgspec.json.format(msgspec.json.encode(report))
+    (folder / 'report.json').write_bytes(encoded)
+    page = '\n'.join(
+        (
+            '<!doctype html><meta charset="utf-8">',
+            '<title>mulberrywalk load</title>',
+            f'<h1>Load, seed {report.seed}</h1><pre>{report.command}</pre>',
+            io.to_html(plot_waits(report), full_html=False),
+            io.to_html(
+                plot_kept(report), full_html=False, include_plotlyjs=False
+            ),
+        )
+    )
+    (folder / 'report.html').write_text(page)
+
+
+def plot_waits(report: Report) -> graph_objects.Figure:
+    """Return the waiting time at p99 by kind of work and run."""
+    figure = graph_objects.Figure()
+    for run in report.runs:
+        labels = [work.label for work in run.works]
+        waits = [work.wait_p99 for work in run.works]
+        figure.add_bar(name=run.name, x=labels, y=waits)
+    figure.update_yaxes(type='log', title='waiting time at p99, ms')
+    return figure
+
+
+def plot_kept(report: Report) -> graph_objects.Figure:
+    """Return the completed part of what was submitted, by kind and run."""
+    figure = graph_objects.Figure()
+    for run in report.runs:
+        labels = [work.label for work in run.works]
+        kept = [
+            _PERCENT * work.completed / max(1, work.submitted)
+            for work in run.works
+        ]
+        figure.add_bar(name=run.name, x=labels, y=kept)
+    figure.update_yaxes(title='completed, % of submitted')
+    return figure
--- a/mulberrywalk/transport/wire.py
+++ b/mulberrywalk/transport/wire.py
@@ -63,6 +63,12 @@
     announcement: event.Announcement
 
 
+class DrainTarget(msgspec.Struct, frozen=True, tag=True):
+    """An operator lets a target take no new work."""
+
+    target: identity.TargetId
+
+
 Request: TypeAlias = (
     Submit
     | Cancel
@@ -73,6 +79,7 @@
     | GetMembers
     | GetTargets
     | OpenSession
+    | DrainTarget
 )
 
 
--- a/tests/bench.py
+++ b/tests/bench.py
@@ -56,8 +56,9 @@
 
 def measure_size(targets: int) -> list[str]:
     """Return a row: a cell with its usual load, then a stream of tasks."""
-    plan = replay.FleetPlan(targets, CAPACITY, rack_size=8, data_centres=4)
-    running = replay.Replay(plan)
+    running = replay.Replay(
+        replay.FleetPlan(targets, CAPACITY, rack_size=8, data_centres=4)
+    )
     standing = round(targets * TASKS_PER_TARGET)
     fill = [arrival(number, at=0, run_ms=10**9) for number in range(standing)]
     running.run(fill, until=9)
@@ -74,7 +75,7 @@
     times = sorted(running.seen.event_ns)
     starts = running.seen.starts
     encoded_at = time.process_time()
-    encoded = snapshot.encode(running.tables)
+    size = len(snapshot.encode(running.tables))
     encoded_ms = (time.process_time() - encoded_at) * 1000
     usage = process_resource.getrusage(process_resource.RUSAGE_SELF)
     return [
@@ -85,7 +86,7 @@
         f'{times[len(times) // 2] / _NS_PER_US:.0f}',
         f'{times[len(times) * 99 // 100] / _NS_PER_US:.0f}',
         f'{times[len(times) * 999 // 1000] / _NS_PER_US:.0f}',
-        f'{len(encoded) / 1e6:.1f}',
+        f'{size / 1e6:.1f}',
         f'{encoded_ms:.0f}',
         f'{usage.ru_maxrss / _KIB:.0f}',
     ]
