--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BIN := .venv/bin
 export PYTHONPATH := .
 
-.PHONY: setup demo test lint format bench soak clean
+.PHONY: setup demo test lint format bench kills soak clean
 
 setup: .venv/ready
 
@@ -31,6 +31,9 @@
 bench: setup
 	$(BIN)/python -m tests.bench
 
+kills: setup
+	$(BIN)/python -m tests.kills
+
 soak: setup
 	MULBERRYWALK_SOAK=1 $(BIN)/python -m pytest mulberrywalk/consensus
 
--- a/mulberrywalk/consensus/raft_test.py
+++ b/mulberrywalk/consensus/raft_test.py
@@ -421,3 +421,151 @@
         world.disks[name].vote = node.SaveVote(world.nodes[name].term, None)
     world.run(4000)
     assert world.leader()
+
+
+def lonely(name, members, term=0):
+    """Return one replica of several, with no others running."""
+    founders = message.Membership(
+        tuple(
+            message.Member(message.ReplicaId(one), one, 'dc', True)
+            for one in members
+        )
+    )
+    return raft.create(
+        message.ReplicaId(name),
+        log.Log(0, 0, founders),
+        TIMING,
+        vote=node.SaveVote(term, None),
+        now=0,
+    )
+
+
+def entry(index, term):
+    return message.LogEntry(
+        index, term, message.EntryKind.COMMAND, b'%d' % index
+    )
+
+
+def sends(effects):
+    return [one for one in effects if isinstance(one, node.Send)]
+
+
+def test_vote_is_saved_before_it_leaves():
+    state = lonely('a', 'abc')
+    raft.step(state, node.Tick(1000))
+    asked = message.VoteRequest(7, 0, 0, handover=False)
+    effects = raft.step(state, node.Received('b', asked))
+    assert node.SaveVote(7, 'b') in effects
+    assert [one.is_after_sync for one in sends(effects)] == [True]
+    again = message.VoteRequest(7, 0, 0, handover=False)
+    refused = raft.step(state, node.Received('c', again))
+    assert not sends(refused)[-1].body.granted
+
+
+def test_append_is_acknowledged_after_the_sync():
+    state = lonely('a', 'abc')
+    request = message.AppendRequest(1, 0, 0, (entry(1, 1),), 0, 5)
+    effects = raft.step(state, node.Received('b', request))
+    reply = sends(effects)[-1]
+    assert reply.body.succeeded
+    assert reply.is_after_sync
+
+
+def test_restarted_voter_keeps_the_lease_that_it_granted(world):
+    leader = world.leader()
+    others = [name for name in world.nodes if name != leader]
+    world.cuts = {(leader, other) for other in others}
+    for name in others:
+        world.start(name)
+    for _ in range(TIMING.election_ms // 10 - 2):
+        world.run(10)
+        world.check()
+    asked = message.VoteRequest(9, 99, 9, handover=False)
+    world.step(others[0], node.Received(others[1], asked))
+    assert world.nodes[others[0]].term < 9
+
+
+def test_earlier_term_is_committed_only_with_the_own_term():
+    """The case of figure 8 of the Raft paper."""
+    state = lonely('a', 'abcde')
+    state.log.append(entry(1, 1))
+    state.log.append(entry(2, 2))
+    state.synced_index = 2
+    state.term = 3
+    raft.step(state, node.Tick(1000))
+    for sender in 'bc':
+        reply = message.PreVoteReply(4, granted=True)
+        raft.step(state, node.Received(sender, reply))
+    for sender in 'bc':
+        vote = message.VoteReply(4, granted=True)
+        raft.step(state, node.Received(sender, vote))
+    assert state.role is node.Role.LEADER
+    for sender in 'bc':
+        reply = message.AppendReply(4, succeeded=True, match=2, sent_at=1000)
+        raft.step(state, node.Received(sender, reply))
+    assert state.commit_index == 0
+    for sender in 'bc':
+        reply = message.AppendReply(4, succeeded=True, match=3, sent_at=1000)
+        raft.step(state, node.Received(sender, reply))
+    raft.step(state, node.Synced(3, 4))
+    assert state.commit_index == 3
+
+
+def test_candidate_that_is_behind_gets_no_vote():
+    state = lonely('a', 'abc')
+    request = message.AppendRequest(1, 0, 0, (entry(1, 1),), 0, 5)
+    raft.step(state, node.Received('b', request))
+    raft.step(state, node.Tick(5000))
+    asked = message.VoteRequest(9, 0, 0, handover=False)
+    effects = raft.step(state, node.Received('c', asked))
+    assert not sends(effects)[-1].body.granted
+
+
+def test_leader_lease_ends_with_a_handover(world):
+    leader = world.leader()
+    assert node.holds_lease(world.nodes[leader], world.now)
+    world.step(leader, node.HandoverProposed())
+    assert not node.holds_lease(world.nodes[leader], world.now)
+
+
+def test_own_entries_count_only_when_synced():
+    state = lonely('a', 'a')
+    raft.step(state, node.Tick(5000))
+    assert state.role is node.Role.LEADER
+    raft.step(state, node.Proposed((b'x',)))
+    assert state.commit_index == 0
+    raft.step(state, node.Synced(2, state.term))
+    assert state.commit_index == 2
+
+
+def test_membership_changes_one_at_a_time(world):
+    leader = world.leader()
+    state = world.nodes[leader]
+    others = [name for name in world.nodes if name != leader]
+    world.cuts = {(other, leader) for other in others}
+    first = state.membership.remove(others[0])
+    world.step(leader, node.MembershipProposed(first))
+    assert state.membership == first
+    second = first.remove(others[1])
+    world.step(leader, node.MembershipProposed(second))
+    assert state.membership == first
+
+
+def test_membership_changes_by_one_voter(world):
+    leader = world.leader()
+    state = world.nodes[leader]
+    before = state.membership
+    smaller = before
+    for name in list(world.nodes):
+        if name != leader:
+            smaller = smaller.remove(name)
+    world.step(leader, node.MembershipProposed(smaller))
+    assert state.membership == before
+
+
+def test_refused_pre_vote_tells_the_term():
+    state = lonely('a', 'abc', term=5)
+    raft.step(state, node.Tick(100))
+    asked = message.PreVoteRequest(2, 9, 1)
+    effects = raft.step(state, node.Received('b', asked))
+    assert sends(effects)[-1].body == message.PreVoteReply(5, granted=False)
--- /dev/null
+++ b/mulberrywalk/entry/caller_test.py
@@ -0,0 +1,103 @@
+"""Callers' input is checked and outcomes become responses."""
+
+import json
+from types import MappingProxyType
+
+import pytest
+from starlette import testclient
+
+from ..telemetry import journal, metric
+from . import answer, caller, connection, upstream
+
+JOB = MappingProxyType(
+    {
+        'request_id': 'r1',
+        'team': 'a',
+        'kind': 'batch',
+        'tasks': [{'millicores': 1, 'memory_bytes': 1}],
+    }
+)
+
+
+class FakeLeader(upstream.Upstream):
+    """Answers every call with the same reply."""
+
+    def __init__(self, reply, *, is_ready=True):
+        super().__init__(('a:1',), journal.Journal(journal.Origin('e', 'd')))
+        self.reply = reply
+        self.is_ready = is_ready
+        self.asked = []
+
+    def is_current(self):
+        return self.is_ready
+
+    async def call(self, request, seconds):
+        self.asked.append(request)
+        return self.reply
+
+
+def client_of(leader):
+    lines = journal.Journal(journal.Origin('e', 'd'))
+    targets = connection.Connections(leader, lines)
+    interface = caller.Interface(leader, targets, lines, metric.NoMetrics())
+    return testclient.TestClient(interface.application())
+
+
+@pytest.mark.parametrize(
+    ('changes', 'field'),
+    [
+        ({'team': 7}, 'team'),
+        ({'team': 'no spaces'}, 'team'),
+        ({'kind': 'other'}, 'kind'),
+        ({'tasks': []}, 'tasks'),
+        ({'tasks': [{'millicores': 0}]}, 'tasks[0].millicores'),
+        ({'surplus': 1}, ''),
+    ],
+)
+def test_submit_names_the_wrong_field(changes, field):
+    leader = FakeLeader({'outcome': 'accepted', 'job': 'j1'})
+    answered = client_of(leader).post('/v1/jobs', json={**JOB, **changes})
+    assert answered.status_code == 400
+    assert answered.json()['field'].startswith(field)
+    assert not leader.asked
+
+
+def test_submit_refuses_a_large_body():
+    leader = FakeLeader({'outcome': 'accepted', 'job': 'j1'})
+    body = b' ' * (caller.MAX_BODY_BYTES + 1)
+    answered = client_of(leader).post('/v1/jobs', content=body)
+    assert answered.status_code == 413
+    assert not leader.asked
+
+
+def test_submit_takes_nothing_while_not_current():
+    leader = FakeLeader(None, is_ready=False)
+    answered = client_of(leader).post('/v1/jobs', json=dict(JOB))
+    assert answered.status_code == 503
+    assert answered.json()['outcome'] == 'unavailable'
+    assert not leader.asked
+
+
+@pytest.mark.parametrize(
+    ('reply', 'status'),
+    [
+        ({'outcome': 'accepted', 'job': 'j1'}, 202),
+        ({'outcome': 'not_run', 'reason': 'queue_full'}, 429),
+        ({'outcome': 'not_run', 'reason': 'request_reused'}, 409),
+        (None, 504),
+    ],
+)
+def test_submit_answers_by_outcome(reply, status):
+    answered = client_of(FakeLeader(reply)).post('/v1/jobs', json=dict(JOB))
+    assert answered.status_code == status
+
+
+def test_unknown_names_the_request():
+    answered = json.loads(answer.respond_unknown('r1').body)
+    assert answered['request_id'] == 'r1'
+
+
+def test_wait_must_be_a_number():
+    leader = FakeLeader({'outcome': 'accepted', 'job': 'j1'})
+    answered = client_of(leader).post('/v1/jobs?wait=soon', json=dict(JOB))
+    assert answered.json()['field'] == 'wait'
--- /dev/null
+++ b/mulberrywalk/telemetry/journal_test.py
@@ -0,0 +1,35 @@
+"""The time line is causal and can be filtered."""
+
+from . import clock, journal
+
+
+def record(lines, what, **ids):
+    lines.record(what, **ids)
+    return lines.find(journal.Filter())[-1]
+
+
+def test_stamp_follows_a_received_one(monkeypatch):
+    monkeypatch.setattr(clock, 'wall_ms', lambda: 1000)
+    ahead, behind = clock.HybridClock(), clock.HybridClock()
+    monkeypatch.setattr(clock, 'wall_ms', lambda: 5000)
+    stamp = ahead.read()
+    monkeypatch.setattr(clock, 'wall_ms', lambda: 10)
+    behind.witness(stamp)
+    assert behind.read() > stamp
+
+
+def test_find_selects_by_job_task_and_target():
+    lines = journal.Journal(journal.Origin('p', 'dc'))
+    first = record(lines, 'placed', job='j1', task='j1.0', target='t1')
+    record(lines, 'placed', job='j2', task='j2.0', target='t1')
+    assert lines.find(journal.Filter(job='j1')) == [first]
+    assert lines.find(journal.Filter(task='j1.0')) == [first]
+    assert not lines.find(journal.Filter(target='t9'))
+    assert not lines.find(journal.Filter(until=1))
+
+
+def test_merge_orders_and_drops_repetitions():
+    lines = journal.Journal(journal.Origin('p', 'dc'))
+    first = record(lines, 'a')
+    second = record(lines, 'b')
+    assert journal.merge([second, first, second]) == [first, second]
--- /dev/null
+++ b/mulberrywalk/telemetry/setting_test.py
@@ -0,0 +1,31 @@
+"""Settings are checked together."""
+
+import pytest
+import typer
+
+from . import setting
+
+
+def test_finish_reports_every_error(capsys):
+    checker = setting.Checker()
+    checker.name('--name', 'not a name')
+    checker.address('--listen', 'nowhere')
+    checker.number('--voters', '99', 1, 9)
+    checker.addresses('--replicas', '')
+    with pytest.raises(typer.Exit):
+        checker.finish()
+    reported = capsys.readouterr().err.splitlines()
+    assert [line.split(':')[0] for line in reported] == [
+        '--name',
+        '--listen',
+        '--voters',
+        '--replicas',
+    ]
+
+
+def test_valid_settings_pass():
+    checker = setting.Checker()
+    assert checker.address('--listen', '127.0.0.1:80') == '127.0.0.1:80'
+    assert checker.optional_address('--statsd', '') == ''
+    assert checker.number('--voters', '3', 1, 9) == 3
+    checker.finish()
--- a/tests/bench.py
+++ b/tests/bench.py
@@ -17,6 +17,7 @@
 from mulberrywalk.telemetry import journal
 from mulberrywalk.tools import replay
 from mulberrywalk.transport import wire
+from tests import bench_cell
 
 SIZES = (24, 240, 2400, 8600)
 CAPACITY = resource.Resources(16_000, 34_359_738_368, 0, slots=8)
@@ -33,6 +34,8 @@
     console = Console(width=100)
     console.print(measure_reducer())
     console.print(measure_messages())
+    for table in bench_cell.measure():
+        console.print(table)
 
 
 def measure_reducer() -> Table:
--- /dev/null
+++ b/tests/kills.py
@@ -0,0 +1,169 @@
+"""Measures how soon urgent work starts through kills; run by make kills.
+
+For each kill: the longest time from the kill, or from the submission when
+that came later, to the start of the attempt that ended the task.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import pathlib
+import shutil
+import sys
+import threading
+import time
+from typing import Any
+
+import httpx
+from rich.console import Console
+from rich.table import Table
+
+from demo import cell
+
+KILLS = 20
+BOUND_MS = 5300
+_FOLDER = pathlib.Path('run/kills')
+_GAP_S = 0.1
+_WATCH_S = 7.0
+_CALLERS = 4
+_RUN_MS = 400
+_RETRY_S = 0.1
+_LAST_S = 30.0
+_MS_PER_S = 1000
+
+
+class Urgent:
+    """Callers that submit urgent requests without a pause."""
+
+    def __init__(self, running: cell.Cell) -> None:
+        """Start the callers."""
+        self.started: list[tuple[float, float]] = []
+        self.lost = 0
+        self._cell = running
+        self._is_over = threading.Event()
+        self._threads = [
+            threading.Thread(target=self._call, args=(number,), daemon=True)
+            for number in range(_CALLERS)
+        ]
+        for thread in self._threads:
+            thread.start()
+
+    def stop(self) -> None:
+        """Wait for the requests in progress."""
+        self._is_over.set()
+        for thread in self._threads:
+            thread.join()
+
+    def _call(self, caller: int) -> None:
+        number = 0
+        with httpx.Client(timeout=_LAST_S) as client:
+            while not self._is_over.is_set():
+                number += 1
+                self._submit(client, f'u{caller}-{number}', number)
+                time.sleep(_GAP_S)
+
+    def _submit(self, client: httpx.Client, request_id: str, turn: int) -> None:
+        payload = json.dumps({'run_ms': _RUN_MS, 'label': request_id})
+        body = {
+            'request_id': request_id,
+            'team': 'counter',
+            'kind': 'request',
+            'urgency': 'critical',
+            'tasks': [
+                {
+                    'millicores': 500,
+                    'memory_bytes': 1 << 20,
+                    'payload': payload,
+                }
+            ],
+        }
+        submitted_at = time.time() * _MS_PER_S
+        job = self._insist(client, body, turn)
+        if job is None:
+            self.lost += 1
+            return
+        attempt = job['tasks'][0]['attempts'][-1]
+        self.started.append((submitted_at, attempt['started_at']))
+
+    def _insist(
+        self, client: httpx.Client, body: dict[str, Any], turn: int
+    ) -> dict[str, Any] | None:
+        deadline = time.monotonic() + _LAST_S
+        entries = self._cell.entry_addresses
+        while time.monotonic() < deadline:
+            turn += 1
+            base = f'http://{entries[turn % len(entries)]}/v1/jobs'
+            try:
+                told = client.post(f'{base}?wait=10', json=body).json()
+                job = told.get('job', '')
+                explained = client.get(f'{base}/{job}/explanation').json()
+            except (httpx.TransportError, ValueError):
+                explained = {}
+            if explained.get('state') == 'completed':
+                return dict(explained)
+            time.sleep(_RETRY_S)
+        return None
+
+
+def main() -> int:
+    """Kill leaders, entries and targets; return zero within the bound."""
+    table = Table('killed', 'kills', 'p50 ms', 'p90 ms', 'max ms', 'lost')
+    worst = 0
+    lost = 0
+    for kind in ('leader', 'entry', 'target'):
+        longest, missing = measure(kind)
+        worst = max(worst, longest[-1])
+        lost += missing
+        table.add_row(
+            kind,
+            str(len(longest)),
+            str(longest[len(longest) // 2]),
+            str(longest[len(longest) * 9 // 10]),
+            str(longest[-1]),
+            str(missing),
+        )
+    Console().print(table)
+    return int(worst > BOUND_MS or lost > 0)
+
+
+def measure(kind: str) -> tuple[list[int], int]:
+    """Return the longest start after each kill, sorted, and the lost."""
+    shutil.rmtree(_FOLDER, ignore_errors=True)
+    plan = cell.Plan(_FOLDER.absolute(), entries=3, targets=8)
+    running = cell.Cell(plan)
+    with contextlib.ExitStack() as stack:
+        stack.callback(running.stop)
+        running.start()
+        urgent = Urgent(running)
+        longest = sorted(
+            _kill_once(running, urgent, kind, turn) for turn in range(KILLS)
+        )
+        urgent.stop()
+    return longest, urgent.lost
+
+
+def _kill_once(running: cell.Cell, urgent: Urgent, kind: str, turn: int) -> int:
+    names = {
+        'leader': running.leader(),
+        'entry': f'entry-{turn % 3}',
+        'target': f'target-{turn % 8}',
+    }
+    process = running.processes[names[kind]]
+    time.sleep(1)
+    killed_at = time.time() * _MS_PER_S
+    process.kill()
+    time.sleep(_WATCH_S)
+    process.start()
+    time.sleep(2)
+    waits = [
+        started_at - max(submitted_at, killed_at)
+        for submitted_at, started_at in list(urgent.started)
+        if started_at > killed_at
+        and submitted_at < killed_at + _WATCH_S * _MS_PER_S
+    ]
+    return round(max(waits, default=0))
+
+
+if __name__ == '__main__':
+    sys.exit(main())
