Serve teams within their due share first, and keep headroom

Cause: urgencies above their floors were served strictly by urgency, so a flood of the most urgent work took everything beyond the floors, and any flood took every slot, so that others waited for an end.

Change: teams within their due share go first, by urgency, then those above it by how far; these leave 5 % of the cell free. The leader's side of the log has a module of its own.

--- a/mulberrywalk/consensus/raft.py
+++ b/mulberrywalk/consensus/raft.py
@@ -11,7 +11,7 @@
 from types import MappingProxyType
 from typing import Any
 
-from . import election, message, node, replication
+from . import election, leadership, message, node, replication
 from . import log as replica_log
 
 
@@ -70,7 +70,7 @@
 ) -> None:
     state.now = max(state.now, entered.now)
     if state.role is node.Role.LEADER:
-        replication.lead(state, effects)
+        leadership.lead(state, effects)
     elif state.now >= state.election_at:
         election.stand(state, effects)
 
@@ -80,9 +80,9 @@
         node.Tick: _tick,
         node.Received: _receive,
         node.Synced: replication.sync,
-        node.Proposed: replication.propose,
-        node.MembershipProposed: replication.propose_membership,
-        node.HandoverProposed: replication.propose_handover,
+        node.Proposed: leadership.propose,
+        node.MembershipProposed: leadership.propose_membership,
+        node.HandoverProposed: leadership.propose_handover,
         node.Compacted: replication.compact,
     }
 )
@@ -95,7 +95,7 @@
         message.VoteReply: election.count_vote,
         message.HandoverRequest: election.accept_handover,
         message.AppendRequest: replication.answer_append,
-        message.AppendReply: replication.count_append,
+        message.AppendReply: leadership.count_append,
         message.SnapshotRequest: replication.answer_snapshot,
     }
 )
--- a/mulberrywalk/consensus/repair.py
+++ b/mulberrywalk/consensus/repair.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from . import message, node, replication
+from . import leadership, message, node
 
 # A spare this many entries behind the commit counts as caught up.
 _CAUGHT_UP_ENTRIES = 200
@@ -22,7 +22,7 @@
     A spare is promoted before the silent voter is removed, and only when the
     voters that answer and the newcomer are a quorum of the new membership.
     """
-    if not replication.can_change_membership(state):
+    if not leadership.can_change_membership(state):
         return None
     silent = [
         voter
@@ -54,7 +54,7 @@
 
     None while another change is under way, or when it is a member already.
     """
-    if not replication.can_change_membership(state):
+    if not leadership.can_change_membership(state):
         return None
     if state.membership.find(newcomer.identity) is not None:
         return None
--- a/mulberrywalk/core/configuration.py
+++ b/mulberrywalk/core/configuration.py
@@ -14,6 +14,7 @@
 # Shares in parts per million, queue bounds in tasks of one team.
 _FLOOR = 150_000
 _LOW_FLOOR = 50_000
+_HEADROOM = 50_000
 _SHORT_QUEUE = 2000
 _LONG_QUEUE = 10_000
 
@@ -72,6 +73,7 @@
     retry_first_ms: Duration = 200
     retry_burst: Positive = 10
     gang_reservation_ms: Duration = 2000
+    headroom: Share = _HEADROOM
     finished_retention_ms: Duration = 3_600_000
     finished_jobs: Positive = 20_000
 
--- a/mulberrywalk/core/dispatch.py
+++ b/mulberrywalk/core/dispatch.py
@@ -21,6 +21,7 @@
     placement,
     preemption,
     resource,
+    share,
     state,
     waiting,
 )
@@ -30,9 +31,15 @@
 
 
 class Turn(NamedTuple):
-    """When a queue is served; the smallest goes first."""
+    """When a queue is served; the smallest goes first.
+
+    Queues of teams within their due share go by urgency, those of teams
+    above it by how far they are above.
+    """
 
     is_above_floor: bool
+    is_above_due: bool
+    weighted_excess: int
     rank: int
     weighted_share: int
     team: str
@@ -45,45 +52,50 @@
     health.release_due(tables)
     admission.forget_finished(tables)
     gang.review(tables)
-    turns = [turn_of(tables, key) for key in tables.waiting.queues]
+    fairness = share.assess(tables)
+    turns = [turn_of(tables, key, fairness) for key in tables.waiting.queues]
     heapq.heapify(turns)
     while turns:
         turn = heapq.heappop(turns)
         key = waiting.QueueKey(turn.rank, turn.team)
-        latest = turn_of(tables, key)
+        latest = turn_of(tables, key, fairness)
         if latest > turn:
             # Usage has grown since this turn was entered.
             heapq.heappush(turns, latest)
-        elif serve(tables, key) and key in tables.waiting.queues:
-            heapq.heappush(turns, turn_of(tables, key))
+        elif serve(tables, key, latest) and key in tables.waiting.queues:
+            heapq.heappush(turns, turn_of(tables, key, fairness))
 
 
-def turn_of(tables: state.State, key: waiting.QueueKey) -> Turn:
+def turn_of(
+    tables: state.State, key: waiting.QueueKey, fairness: share.Fairness
+) -> Turn:
     """Return the turn of a queue by the present usage."""
-    urgency = _URGENCIES[key.rank]
     document = tables.configuration.document
-    total = tables.fleet.total
-    share = resource.dominant_share(tables.urgency_usage[urgency], total)
-    floor = document.classes[urgency].floor
-    team_share = resource.dominant_share(
-        tables.team_usage.get(key.team, resource.NOTHING), total
-    )
     weight = configuration.team_limits(document, key.team).weight
+    used = share.of_team(tables, key.team)
+    weighted = used * configuration.NORMAL_WEIGHT // weight
+    is_above_due = used >= fairness.due(weight)
     return Turn(
-        share >= floor,
+        share.is_above_floor(tables, _URGENCIES[key.rank]),
+        is_above_due,
+        weighted if is_above_due else 0,
         key.rank,
-        team_share * configuration.NORMAL_WEIGHT // weight,
+        weighted,
         key.team,
     )
 
 
-def serve(tables: state.State, key: waiting.QueueKey) -> bool:
+def serve(tables: state.State, key: waiting.QueueKey, turn: Turn) -> bool:
     """Place one task or gang of a queue and return whether it could.
 
     Tasks behind one that does not fit are tried too, a few of them, so that
-    a large task does not hold up small ones.
+    a large task does not hold up small ones. A team above its due share
+    leaves some of the cell free, so that others need not wait for an end.
     """
-    if is_over_quota(tables, key.team):
+    if share.is_over_quota(tables, key.team):
+        return False
+    is_lent = turn.is_above_floor and turn.is_above_due
+    if is_lent and not _has_headroom(tables):
         return False
     positions = tables.waiting.heads(key, _LOOK_AHEAD)
     if any(_place(tables, position.task) for position in positions):
@@ -93,13 +105,9 @@
     return False
 
 
-def is_over_quota(tables: state.State, team: str) -> bool:
-    """Return whether a team uses all of its quota."""
-    limits = configuration.team_limits(tables.configuration.document, team)
-    usage = tables.team_usage.get(team, resource.NOTHING)
-    if limits.quota == resource.PARTS_PER_MILLION:
-        return False
-    return resource.dominant_share(usage, tables.fleet.total) >= limits.quota
+def _has_headroom(tables: state.State) -> bool:
+    headroom = tables.configuration.document.headroom
+    return share.of_all(tables) < resource.PARTS_PER_MILLION - headroom
 
 
 def _place(tables: state.State, name: identity.TaskId) -> bool:
--- a/mulberrywalk/core/preemption.py
+++ b/mulberrywalk/core/preemption.py
@@ -10,6 +10,7 @@
     job,
     lifecycle,
     resource,
+    share,
     state,
     waiting,
 )
@@ -30,7 +31,7 @@
     needs a while to end.
     """
     urgency = _URGENCIES[key.rank]
-    if is_above_floor(tables, urgency):
+    if share.is_above_floor(tables, urgency):
         return
     waited_ms = tables.time - task.waiting_since
     if waited_ms < _PATIENCE_MS:
@@ -43,15 +44,6 @@
         lifecycle.stop(tables, victim, job.StopReason.PREEMPTED)
 
 
-def is_above_floor(tables: state.State, urgency: job.Urgency) -> bool:
-    """Return whether an urgency uses its guaranteed part or more."""
-    document = tables.configuration.document
-    share = resource.dominant_share(
-        tables.urgency_usage[urgency], tables.fleet.total
-    )
-    return share >= document.classes[urgency].floor
-
-
 def choose_victim(
     tables: state.State,
     urgency: job.Urgency,
@@ -59,7 +51,7 @@
 ) -> job.Attempt | None:
     """Return the attempt to stop, or None when there is none to take."""
     for other in reversed(_URGENCIES):
-        if other is urgency or not is_above_floor(tables, other):
+        if other is urgency or not share.is_above_floor(tables, other):
             continue
         victim = _find_victim(tables, other, demand)
         if victim is not None:
--- a/mulberrywalk/core/reducer_test.py
+++ b/mulberrywalk/core/reducer_test.py
@@ -42,7 +42,8 @@
 
 
 def specify(number, kind=job.Kind.BATCH, count=1, millicores=1000, **more):
-    needs = job.TaskSpecification(millicores, 1000, estimate_ms=1000)
+    memory = more.pop('memory', 1000)
+    needs = job.TaskSpecification(millicores, memory, estimate_ms=1000)
     return job.Specification(
         request_id=f'r{number}',
         team=more.pop('team', 'a'),
@@ -118,18 +119,13 @@
         urgency=st.sampled_from(job.Urgency),
         count=st.integers(1, 4),
         millicores=st.sampled_from((500, 1500, 4000, 9000)),
+        memory=st.sampled_from((500, 1900, 3000)),
         is_idempotent=st.booleans(),
         team=st.sampled_from(('a', 'b')),
     )
-    def submit(self, kind, urgency, count, millicores, is_idempotent, team):
+    def submit(self, kind, count, millicores, **more):
         specification = specify(
-            next(self.cell.numbers),
-            kind,
-            count,
-            millicores,
-            urgency=urgency,
-            is_idempotent=is_idempotent,
-            team=team,
+            next(self.cell.numbers), kind, count, millicores, **more
         )
         told = self.cell.submit(specification)
         assert isinstance(told, outcome.Accepted)
@@ -227,7 +223,10 @@
                 task = tables.tasks[tables.attempts[name].task]
                 demand = tables.task_specification(task).demand()
                 declared = resource.add(declared, demand)
-            assert resource.fits(declared, cell.capacity)
+            # Spelled out: the mechanism must not vouch for itself.
+            assert declared.millicores <= cell.capacity.millicores
+            assert declared.memory_bytes <= cell.capacity.memory_bytes
+            assert declared.slots <= cell.capacity.slots
 
     @invariant()
     def each_task_is_accounted_for(self):
@@ -470,3 +469,39 @@
     encoded = msgspec.msgpack.encode([submitted])
     decoder = msgspec.msgpack.Decoder(list[event.Event])
     assert decoder.decode(encoded) == [submitted]
+
+
+def test_team_above_its_due_share_leaves_headroom():
+    cell = Cell(targets=8)
+    cell.submit(specify(1, job.Kind.SERVICE, team='steady'))
+    cell.dispatch()
+    cell.submit(specify(2, count=60, team='flood'))
+    cell.dispatch()
+    assert len(cell.tables.attempts) == 23
+    urgent = cell.submit(specify(3, job.Kind.REQUEST, team='counter'))
+    cell.dispatch()
+    assert cell.task(urgent.job).state is job.TaskState.PLACED
+
+
+def test_urgent_flood_does_not_starve_a_team_within_its_due_share():
+    cell = Cell(targets=8)
+    flood = specify(1, count=60, team='flood', urgency=job.Urgency.CRITICAL)
+    cell.submit(flood)
+    batch = cell.submit(
+        specify(2, count=10, team='night', urgency=job.Urgency.LOW)
+    )
+    cell.dispatch()
+    placed = [
+        cell.task(batch.job, number).state is job.TaskState.PLACED
+        for number in range(10)
+    ]
+    assert all(placed)
+
+
+def test_team_over_its_quota_waits():
+    cell = Cell(targets=4)
+    quota = {'teams': {'a': {'quota': 500_000}}}
+    cell.apply(event.ConfigurationPatched, 'p1', 1, quota)
+    cell.submit(specify(1, count=12))
+    cell.dispatch()
+    assert len(cell.tables.attempts) == 6
--- a/mulberrywalk/replica/view.py
+++ b/mulberrywalk/replica/view.py
@@ -11,12 +11,12 @@
 from ..consensus import message, node
 from ..core import (
     configuration,
-    dispatch,
     fleet,
     identity,
     job,
     lifecycle,
     resource,
+    share,
     state,
 )
 
@@ -117,7 +117,7 @@
     if task.not_before > tables.time:
         return 'a retry is delayed'
     team = tables.specification(task).team
-    if dispatch.is_over_quota(tables, team):
+    if share.is_over_quota(tables, team):
         return 'the team uses its whole quota'
     if not tables.fleet.cells:
         return 'there are no targets'
--- a/mulberrywalk/tools/command.py
+++ b/mulberrywalk/tools/command.py
@@ -26,6 +26,7 @@
 _ANSWER_S = 15.0
 _ENTRIES = '127.0.0.1:8080'
 _MS_PER_S = 1000
+_WIDTH = 132
 _REFUSALS = frozenset(
     (
         'not_run',
@@ -252,14 +253,19 @@
     table = Table(*columns)
     for row in rows:
         table.add_row(*_texts(row.get(column, '') for column in columns))
-    Console().print(table)
+    console = Console()
+    console.width = max(console.width, _WIDTH)
+    console.print(table)
 
 
 def _texts(cells: Iterable[Any]) -> list[str]:
-    return [
-        json.dumps(cell) if isinstance(cell, list | dict) else str(cell)
-        for cell in cells
-    ]
+    return [_text(cell) for cell in cells]
+
+
+def _text(cell: Any) -> str:
+    if isinstance(cell, dict):
+        return '\n'.join(f'{name} {told}' for name, told in cell.items())
+    return json.dumps(cell) if isinstance(cell, list) else str(cell)
 
 
 def _timeline_row(line: journal.Line) -> dict[str, Any]:
