Bound answers, pass renewals on together, name targets' loads

An answer of 5,000 tasks could exceed the largest message, and its waiting caller would never hear it. A target could report the reasons that only the leader may give. Each renewal was a message of its own to the leader: its idle use grew with the targets. Cell meant the whole cell in one place and one target in another.

Change: the answers of a job share 16 MiB, a larger one fails its task; the protocol takes four reasons; an entry gathers renewals for 0.15 s; the index holds a TargetLoad for each target; patches of the configuration have their module. Test cells take ports below the range of outgoing connections.

--- a/demo/cell.py
+++ b/demo/cell.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import dataclasses
+import itertools
 import os
 import pathlib
 import signal
@@ -13,6 +14,7 @@
 import subprocess
 import sys
 import time
+from collections.abc import Iterator
 from typing import Any
 
 import httpx
@@ -28,6 +30,9 @@
 _POLL_S = 0.1
 _STOP_S = 10.0
 _ANSWER_S = 15
+_FIRST_PORT = 10_000
+_LAST_PORT = 30_000
+_LANE = 500
 
 
 class CellError(Exception):
@@ -279,13 +284,29 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Return loopback ports that nothing listens on."""
-    sockets = [
-        socket.socket(socket.AF_INET, socket.SOCK_STREAM) for _ in range(count)
-    ]
-    for opened in sockets:
-        opened.bind(('127.0.0.1', 0))
-    ports = [int(bound.getsockname()[1]) for bound in sockets]
-    for bound in sockets:
-        bound.close()
-    return ports
+    """Return loopback ports that nothing listens on.
+
+    They lie below the range that the kernel gives to outgoing connections,
+    so that none of those takes one before its process listens. Launchers
+    that run side by side start at different places of the range.
+    """
+    return list(itertools.islice(filter(_is_free, _PORTS), count))
+
+
+def _is_free(port: int) -> bool:
+    with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as probe:
+        try:
+            probe.bind(('127.0.0.1', port))
+        except OSError:
+            return False
+    return True
+
+
+def _cycle_ports() -> Iterator[int]:
+    lanes = (_LAST_PORT - _FIRST_PORT) // _LANE
+    start = _FIRST_PORT + os.getpid() % lanes * _LANE
+    ordered = [*range(start, _LAST_PORT), *range(_FIRST_PORT, start)]
+    return itertools.cycle(ordered)
+
+
+_PORTS = _cycle_ports()
--- a/mulberrywalk/core/dispatch.py
+++ b/mulberrywalk/core/dispatch.py
@@ -115,31 +115,31 @@
     specification = tables.specification(task)
     if specification.kind is job.Kind.GANG and not task.attempts:
         return gang.place(tables, task)
-    cell = choose(tables, task, specification)
-    if cell is None:
+    load = choose(tables, task, specification)
+    if load is None:
         return False
-    lifecycle.place(tables, task, cell)
+    lifecycle.place(tables, task, load)
     return True
 
 
 def choose(
     tables: state.State, task: job.Task, specification: job.Specification
-) -> fleet.Cell | None:
+) -> fleet.TargetLoad | None:
     """Return the target for one task, or None when it fits on none."""
     needs = specification.tasks[task.number]
     demand = needs.demand()
     if tables.fleet.is_blocked(demand):
         return gang.backfill(tables, needs)
     policy = placement.POLICIES[specification.kind]
-    siblings: tuple[fleet.Cell, ...] = ()
+    siblings: tuple[fleet.TargetLoad, ...] = ()
     if specification.kind is job.Kind.SERVICE:
         siblings = _siblings(tables, task)
     request = placement.Request(demand, _failed_last(task), siblings)
-    cell = policy.choose(tables.fleet, request)
-    if cell is None:
+    load = policy.choose(tables.fleet, request)
+    if load is None:
         tables.fleet.block(demand)
         return gang.backfill(tables, needs)
-    return cell
+    return load
 
 
 def _failed_last(task: job.Task) -> identity.TargetId | None:
@@ -148,10 +148,12 @@
     return None
 
 
-def _siblings(tables: state.State, task: job.Task) -> tuple[fleet.Cell, ...]:
+def _siblings(
+    tables: state.State, task: job.Task
+) -> tuple[fleet.TargetLoad, ...]:
     record = tables.jobs[task.job]
     return tuple(
-        tables.fleet.cells[tables.attempts[sibling.attempt].target]
+        tables.fleet.loads[tables.attempts[sibling.attempt].target]
         for sibling in lifecycle.tasks_of(tables, record)
         if sibling.attempt is not None
     )
--- a/mulberrywalk/core/fleet.py
+++ b/mulberrywalk/core/fleet.py
@@ -19,7 +19,7 @@
 
 
 @dataclasses.dataclass(slots=True)
-class Cell:
+class TargetLoad:
     """One target as placement sees it.
 
     is_open tells that the target takes new work; is_probed that it may run
@@ -44,7 +44,7 @@
 
     def __init__(self) -> None:
         """Start without targets."""
-        self.cells: dict[identity.TargetId, Cell] = {}
+        self.loads: dict[identity.TargetId, TargetLoad] = {}
         self.total = resource.NOTHING
         self.capacities: collections.Counter[resource.Resources] = (
             collections.Counter()
@@ -53,61 +53,61 @@
         self._centres: dict[identity.DataCentre, SortedList] = {}
         self._blocked: set[resource.Resources] = set()
 
-    def add(self, cell: Cell) -> None:
+    def add(self, load: TargetLoad) -> None:
         """Add a target; its capacity counts from now on."""
-        self.cells[cell.target] = cell
-        self.total = resource.add(self.total, cell.capacity)
-        self.capacities[cell.capacity] += 1
-        self._index(cell)
+        self.loads[load.target] = load
+        self.total = resource.add(self.total, load.capacity)
+        self.capacities[load.capacity] += 1
+        self._index(load)
 
     def remove(self, target: identity.TargetId) -> None:
         """Forget a target and its capacity."""
-        cell = self.cells.pop(target)
-        self._drop(cell)
-        self.total = resource.subtract(self.total, cell.capacity)
-        self.capacities[cell.capacity] -= 1
-        if not self.capacities[cell.capacity]:
-            self.capacities.pop(cell.capacity)
+        load = self.loads.pop(target)
+        self._drop(load)
+        self.total = resource.subtract(self.total, load.capacity)
+        self.capacities[load.capacity] -= 1
+        if not self.capacities[load.capacity]:
+            self.capacities.pop(load.capacity)
 
     def change(
         self,
-        cell: Cell,
+        load: TargetLoad,
         *,
         free: resource.Resources | None = None,
         is_open: bool | None = None,
         is_probed: bool | None = None,
     ) -> None:
         """Change what is free on a target or whether it takes work."""
-        self._drop(cell)
+        self._drop(load)
         if free is not None:
-            cell.free = free
+            load.free = free
         if is_open is not None:
-            cell.is_open = is_open
+            load.is_open = is_open
         if is_probed is not None:
-            cell.is_probed = is_probed
-        self._index(cell)
+            load.is_probed = is_probed
+        self._index(load)
 
-    def reserve(self, cell: Cell, job: identity.JobId | None) -> None:
+    def reserve(self, load: TargetLoad, job: identity.JobId | None) -> None:
         """Set a target aside for a gang, or give it back."""
-        self._drop(cell)
-        cell.reserved_for = job
-        self._index(cell)
+        self._drop(load)
+        load.reserved_for = job
+        self._index(load)
 
-    def fitting(self, demand: resource.Resources) -> Iterator[Cell]:
+    def fitting(self, demand: resource.Resources) -> Iterator[TargetLoad]:
         """Yield the open targets a demand fits on, least free first."""
         lowest = (demand.millicores, '')
         for _, target in self._ordered.irange(minimum=lowest):
-            cell = self.cells[target]
-            if resource.fits(demand, cell.free):
-                yield cell
+            load = self.loads[target]
+            if resource.fits(demand, load.free):
+                yield load
 
-    def roomiest(self, demand: resource.Resources) -> Iterator[Cell]:
+    def roomiest(self, demand: resource.Resources) -> Iterator[TargetLoad]:
         """Yield the open targets a demand fits on, most free first."""
         yield from self._descend(self._ordered, demand)
 
     def roomiest_in(
         self, data_centre: identity.DataCentre, demand: resource.Resources
-    ) -> Iterator[Cell]:
+    ) -> Iterator[TargetLoad]:
         """Yield the fitting targets of a data centre, most free first."""
         ordered = self._centres.get(data_centre)
         if ordered:
@@ -140,34 +140,34 @@
 
     def _descend(
         self, ordered: SortedList, demand: resource.Resources
-    ) -> Iterator[Cell]:
+    ) -> Iterator[TargetLoad]:
         lowest = (demand.millicores, '')
         for _, target in ordered.irange(minimum=lowest, reverse=True):
-            cell = self.cells[target]
-            if resource.fits(demand, cell.free):
-                yield cell
+            load = self.loads[target]
+            if resource.fits(demand, load.free):
+                yield load
 
-    def _index(self, cell: Cell) -> None:
-        if not cell.is_open or cell.reserved_for is not None:
+    def _index(self, load: TargetLoad) -> None:
+        if not load.is_open or load.reserved_for is not None:
             return
-        if cell.free.slots <= 0 or (cell.is_probed and cell.attempts):
+        if load.free.slots <= 0 or (load.is_probed and load.attempts):
             return
-        key = (cell.free.millicores, cell.target)
+        key = (load.free.millicores, load.target)
         self._ordered.add(key)
-        centre = self._centres.setdefault(cell.data_centre, SortedList())
+        centre = self._centres.setdefault(load.data_centre, SortedList())
         centre.add(key)
-        cell.is_indexed = True
+        load.is_indexed = True
         if self._blocked:
             self._blocked = {
                 demand
                 for demand in self._blocked
-                if not resource.fits(demand, cell.free)
+                if not resource.fits(demand, load.free)
             }
 
-    def _drop(self, cell: Cell) -> None:
-        if not cell.is_indexed:
+    def _drop(self, load: TargetLoad) -> None:
+        if not load.is_indexed:
             return
-        key = (cell.free.millicores, cell.target)
+        key = (load.free.millicores, load.target)
         self._ordered.remove(key)
-        self._centres[cell.data_centre].remove(key)
-        cell.is_indexed = False
+        self._centres[load.data_centre].remove(key)
+        load.is_indexed = False
--- a/mulberrywalk/core/gang.py
+++ b/mulberrywalk/core/gang.py
@@ -24,7 +24,7 @@
     """What a target will have free, and when its batch work should end."""
 
     free_at: int
-    cell: fleet.Cell
+    load: fleet.TargetLoad
     free: resource.Resources
 
 
@@ -44,8 +44,8 @@
     if chosen is None:
         _reserve_when_overdue(tables, first)
         return False
-    for task, cell in zip(waiting, chosen, strict=True):
-        lifecycle.place(tables, task, cell)
+    for task, load in zip(waiting, chosen, strict=True):
+        lifecycle.place(tables, task, load)
     if tables.reservation and tables.reservation.job == first.job:
         _cancel_reservation(tables)
     return True
@@ -53,7 +53,7 @@
 
 def backfill(
     tables: state.State, needs: job.TaskSpecification
-) -> fleet.Cell | None:
+) -> fleet.TargetLoad | None:
     """Return a kept target on which a task ends before the gang starts."""
     reservation = tables.reservation
     if reservation is None:
@@ -61,14 +61,14 @@
     if tables.time + needs.estimate_ms > reservation.starts_at:
         return None
     demand = needs.demand()
-    cells = (tables.fleet.cells[name] for name in reservation.targets)
+    loads = (tables.fleet.loads[name] for name in reservation.targets)
     return next(
         (
-            cell
-            for cell in cells
-            if cell.is_open
-            and not cell.is_probed
-            and resource.fits(demand, cell.free)
+            load
+            for load in loads
+            if load.is_open
+            and not load.is_probed
+            and resource.fits(demand, load.free)
         ),
         None,
     )
@@ -82,7 +82,7 @@
     record = tables.jobs.get(reservation.job)
     is_waiting = record is not None and record.state is job.JobState.QUEUED
     is_whole = all(
-        name in tables.fleet.cells and tables.fleet.cells[name].is_open
+        name in tables.fleet.loads and tables.fleet.loads[name].is_open
         for name in reservation.targets
     )
     is_late = tables.time > reservation.starts_at + _REVIEW_MS
@@ -92,28 +92,28 @@
 
 def _allocate(
     tables: state.State, tasks: list[job.Task]
-) -> list[fleet.Cell] | None:
+) -> list[fleet.TargetLoad] | None:
     """Try the tasks one after the other and undo all; None if one fails."""
     policy = placement.POLICIES[job.Kind.GANG]
-    chosen: list[fleet.Cell] = []
+    chosen: list[fleet.TargetLoad] = []
     taken: list[resource.Resources] = []
     for task in tasks:
         demand = tables.task_specification(task).demand()
-        cell = policy.choose(tables.fleet, placement.Request(demand))
-        if cell is None:
+        load = policy.choose(tables.fleet, placement.Request(demand))
+        if load is None:
             break
-        chosen.append(cell)
+        chosen.append(load)
         taken.append(demand)
-        tables.fleet.change(cell, free=resource.subtract(cell.free, demand))
-    for cell, demand in zip(chosen, taken, strict=True):
-        tables.fleet.change(cell, free=resource.add(cell.free, demand))
+        tables.fleet.change(load, free=resource.subtract(load.free, demand))
+    for load, demand in zip(chosen, taken, strict=True):
+        tables.fleet.change(load, free=resource.add(load.free, demand))
     if len(chosen) < len(tasks) or _doubles_probe(chosen):
         return None
     return chosen
 
 
-def _doubles_probe(chosen: list[fleet.Cell]) -> bool:
-    probed = [cell.target for cell in chosen if cell.is_probed]
+def _doubles_probe(chosen: list[fleet.TargetLoad]) -> bool:
+    probed = [load.target for load in chosen if load.is_probed]
     return len(probed) > len(set(probed))
 
 
@@ -123,12 +123,12 @@
     if reservation is None or reservation.job != gang:
         return
     for name in reservation.targets:
-        tables.fleet.reserve(tables.fleet.cells[name], None)
+        tables.fleet.reserve(tables.fleet.loads[name], None)
 
 
 def _keep(tables: state.State, reservation: state.Reservation) -> None:
     for name in reservation.targets:
-        tables.fleet.reserve(tables.fleet.cells[name], reservation.job)
+        tables.fleet.reserve(tables.fleet.loads[name], reservation.job)
 
 
 def _cancel_reservation(tables: state.State) -> None:
@@ -137,9 +137,9 @@
         return
     tables.reservation = None
     for name in reservation.targets:
-        cell = tables.fleet.cells.get(name)
-        if cell is not None:
-            tables.fleet.reserve(cell, None)
+        load = tables.fleet.loads.get(name)
+        if load is not None:
+            tables.fleet.reserve(load, None)
 
 
 def _reserve_when_overdue(tables: state.State, first: job.Task) -> None:
@@ -155,7 +155,7 @@
         return
     tables.reservation = state.Reservation(
         job=first.job,
-        targets=tuple(outlook.cell.target for outlook in outlooks),
+        targets=tuple(outlook.load.target for outlook in outlooks),
         starts_at=max(outlook.free_at for outlook in outlooks),
         made_at=tables.time,
     )
@@ -172,9 +172,9 @@
     specification = tables.specification(first)
     outlooks = sorted(
         (
-            _foresee(tables, cell)
-            for cell in tables.fleet.cells.values()
-            if cell.is_open and not cell.is_probed
+            _foresee(tables, load)
+            for load in tables.fleet.loads.values()
+            if load.is_open and not load.is_probed
         ),
         key=_when_free,
     )
@@ -199,13 +199,13 @@
 
 
 def _when_free(outlook: Outlook) -> tuple[int, str]:
-    return outlook.free_at, outlook.cell.target
+    return outlook.free_at, outlook.load.target
 
 
-def _foresee(tables: state.State, cell: fleet.Cell) -> Outlook:
-    free = cell.capacity
+def _foresee(tables: state.State, load: fleet.TargetLoad) -> Outlook:
+    free = load.capacity
     free_at = tables.time
-    for name in cell.attempts:
+    for name in load.attempts:
         attempt = tables.attempts[name]
         task = tables.tasks[attempt.task]
         if tables.specification(task).kind is job.Kind.SERVICE:
@@ -214,4 +214,4 @@
         estimate = tables.task_specification(task).estimate_ms
         ends_at = (attempt.started_at or attempt.placed_at) + estimate
         free_at = max(free_at, ends_at)
-    return Outlook(free_at, cell, free)
+    return Outlook(free_at, load, free)
--- a/mulberrywalk/core/health.py
+++ b/mulberrywalk/core/health.py
@@ -47,16 +47,16 @@
     """Let the targets whose quarantine has ended run one probe."""
     while tables.quarantined and tables.quarantined[0][0] <= tables.time:
         _, name = tables.quarantined.pop(0)
-        if name in tables.fleet.cells:
+        if name in tables.fleet.loads:
             refresh(tables, name)
 
 
 def refresh(tables: state.State, name: identity.TargetId) -> None:
     """Bring the index in line with a target's record."""
     record = tables.targets[name]
-    cell = tables.fleet.cells[name]
+    load = tables.fleet.loads[name]
     tables.fleet.change(
-        cell,
+        load,
         is_open=(
             record.session is not None
             and not record.is_leaving
--- a/mulberrywalk/core/job.py
+++ b/mulberrywalk/core/job.py
@@ -13,6 +13,8 @@
 MAX_TASKS = 5000
 MAX_NAME = 128
 MAX_PAYLOAD = 65_536
+# The answers of all tasks of a job together, in characters.
+MAX_ANSWERS = 16_777_216
 MAX_RUN_MS = 604_800_000
 MAX_MILLICORES = 1_000_000
 MAX_MEMORY_BYTES = 1_125_899_906_842_624
@@ -85,6 +87,7 @@
     STOPPED = 'stopped'
     NEVER_STARTED = 'never_started'
     SESSION_LOST = 'session_lost'
+    ANSWER_TOO_LARGE = 'answer_too_large'
 
 
 class StopReason(enum.Enum):
@@ -206,6 +209,14 @@
     failed_on: tuple[identity.TargetId, ...] = ()
 
 
+def answer_limit(specification: Specification) -> int:
+    """Return how many characters the answer of each task may have.
+
+    The whole answer of a job has to fit into one message.
+    """
+    return min(MAX_PAYLOAD, MAX_ANSWERS // len(specification.tasks))
+
+
 def task_id(job: identity.JobId, number: int) -> identity.TaskId:
     """Return the identifier of a job's task."""
     return identity.TaskId(f'{job}.{number}')
--- a/mulberrywalk/core/lifecycle.py
+++ b/mulberrywalk/core/lifecycle.py
@@ -72,18 +72,18 @@
     tables.waiting.aside.pop(task.task, None)
 
 
-def place(tables: state.State, task: job.Task, cell: fleet.Cell) -> None:
+def place(tables: state.State, task: job.Task, load: fleet.TargetLoad) -> None:
     """Give a waiting task a new attempt on a target."""
-    session = tables.targets[cell.target].session
+    session = tables.targets[load.target].session
     if session is None:
-        raise AssertionError(f'{cell.target} is open without a session')
+        raise AssertionError(f'{load.target} is open without a session')
     stop_waiting(tables, task)
     number = task.attempts + 1
     attempt = job.Attempt(
         attempt=identity.AttemptId(f'{task.task}/{number}'),
         task=task.task,
         session=session,
-        target=cell.target,
+        target=load.target,
         held=tables.task_specification(task).demand(),
         placed_at=tables.time,
     )
@@ -134,6 +134,7 @@
     if attempt is None:
         return
     state.remove_attempt(tables, attempt)
+    ended = _limit_answer(tables, attempt, ended)
     task = _close_attempt(tables, attempt, ended)
     trace(tables, 'ended', attempt, ended.reason.value)
     _credit(tables, attempt, task, ended.reason)
@@ -230,6 +231,21 @@
     )
 
 
+def _limit_answer(
+    tables: state.State, attempt: job.Attempt, ended: event.AttemptEnd
+) -> event.AttemptEnd:
+    specification = tables.specification(tables.tasks[attempt.task])
+    limit = job.answer_limit(specification)
+    if len(ended.answer) <= limit:
+        return ended
+    return msgspec.structs.replace(
+        ended,
+        reason=job.EndReason.ANSWER_TOO_LARGE,
+        answer='',
+        detail=f'the answer exceeds {limit} characters',
+    )
+
+
 def _credit(
     tables: state.State,
     attempt: job.Attempt,
@@ -266,6 +282,8 @@
 ) -> bool:
     if reason is job.EndReason.NEVER_STARTED:
         return True
+    if reason is job.EndReason.ANSWER_TOO_LARGE:
+        return False
     return specification.is_idempotent
 
 
@@ -295,7 +313,7 @@
 
 
 def _final_state(reason: job.EndReason) -> job.TaskState:
-    if reason is job.EndReason.FAILED:
+    if reason in {job.EndReason.FAILED, job.EndReason.ANSWER_TOO_LARGE}:
         return job.TaskState.FAILED
     return job.TaskState.UNKNOWN
 
--- a/mulberrywalk/core/placement.py
+++ b/mulberrywalk/core/placement.py
@@ -31,33 +31,35 @@
 
     demand: resource.Resources
     avoid: identity.TargetId | None = None
-    siblings: tuple[fleet.Cell, ...] = ()
+    siblings: tuple[fleet.TargetLoad, ...] = ()
 
 
 class Policy(abc.ABC):
     """Chooses among the open targets."""
 
-    def choose(self, cells: fleet.Fleet, request: Request) -> fleet.Cell | None:
+    def choose(
+        self, loads: fleet.Fleet, request: Request
+    ) -> fleet.TargetLoad | None:
         """Return the target for a request, or None when it fits nowhere.
 
         The avoided target is taken only when no other candidate fits.
         """
         candidates = list(
-            itertools.islice(self.candidates(cells, request), _CANDIDATES)
+            itertools.islice(self.candidates(loads, request), _CANDIDATES)
         )
         others = [one for one in candidates if one.target != request.avoid]
         return self.prefer(others or candidates, request)
 
     @abc.abstractmethod
     def candidates(
-        self, cells: fleet.Fleet, request: Request
-    ) -> Iterable[fleet.Cell]:
+        self, loads: fleet.Fleet, request: Request
+    ) -> Iterable[fleet.TargetLoad]:
         """Yield fitting targets, the better ones first."""
 
     @abc.abstractmethod
     def prefer(
-        self, candidates: list[fleet.Cell], request: Request
-    ) -> fleet.Cell | None:
+        self, candidates: list[fleet.TargetLoad], request: Request
+    ) -> fleet.TargetLoad | None:
         """Return the best of a few fitting targets."""
 
 
@@ -65,23 +67,23 @@
     """Packs: the target that is left with the least unused capacity."""
 
     def candidates(
-        self, cells: fleet.Fleet, request: Request
-    ) -> Iterable[fleet.Cell]:
+        self, loads: fleet.Fleet, request: Request
+    ) -> Iterable[fleet.TargetLoad]:
         """Yield the fitting targets with the least free processor."""
-        return cells.fitting(request.demand)
+        return loads.fitting(request.demand)
 
     def prefer(
-        self, candidates: list[fleet.Cell], request: Request
-    ) -> fleet.Cell | None:
+        self, candidates: list[fleet.TargetLoad], request: Request
+    ) -> fleet.TargetLoad | None:
         """Return the target whose largest remaining share is smallest."""
         return min(
             candidates,
-            key=lambda cell: (
+            key=lambda load: (
                 resource.dominant_share(
-                    resource.subtract(cell.free, request.demand),
-                    cell.capacity,
+                    resource.subtract(load.free, request.demand),
+                    load.capacity,
                 ),
-                cell.target,
+                load.target,
             ),
             default=None,
         )
@@ -91,14 +93,14 @@
     """Spreads: the target with the most free processor answers soonest."""
 
     def candidates(
-        self, cells: fleet.Fleet, request: Request
-    ) -> Iterable[fleet.Cell]:
+        self, loads: fleet.Fleet, request: Request
+    ) -> Iterable[fleet.TargetLoad]:
         """Yield the fitting targets with the most free processor."""
-        return cells.roomiest(request.demand)
+        return loads.roomiest(request.demand)
 
     def prefer(
-        self, candidates: list[fleet.Cell], request: Request
-    ) -> fleet.Cell | None:
+        self, candidates: list[fleet.TargetLoad], request: Request
+    ) -> fleet.TargetLoad | None:
         """Return the first, which has the most free processor."""
         return candidates[0] if candidates else None
 
@@ -107,37 +109,37 @@
     """Spreads the tasks of a job over data centres and racks."""
 
     def candidates(
-        self, cells: fleet.Fleet, request: Request
-    ) -> Iterable[fleet.Cell]:
+        self, loads: fleet.Fleet, request: Request
+    ) -> Iterable[fleet.TargetLoad]:
         """Yield targets of the data centres with the fewest siblings."""
         crowding = collections.Counter(
-            cell.data_centre for cell in request.siblings
+            load.data_centre for load in request.siblings
         )
         centres = sorted(
-            cells.data_centres(),
+            loads.data_centres(),
             key=lambda centre: (crowding[centre], centre),
         )
         return itertools.chain.from_iterable(
-            cells.roomiest_in(centre, request.demand) for centre in centres
+            loads.roomiest_in(centre, request.demand) for centre in centres
         )
 
     def prefer(
-        self, candidates: list[fleet.Cell], request: Request
-    ) -> fleet.Cell | None:
+        self, candidates: list[fleet.TargetLoad], request: Request
+    ) -> fleet.TargetLoad | None:
         """Return the target whose centre, rack and self hold fewest."""
-        centres = _count(cell.data_centre for cell in request.siblings)
+        centres = _count(load.data_centre for load in request.siblings)
         racks = _count(
-            (cell.data_centre, cell.rack) for cell in request.siblings
+            (load.data_centre, load.rack) for load in request.siblings
         )
-        targets = _count(cell.target for cell in request.siblings)
+        targets = _count(load.target for load in request.siblings)
         return min(
             candidates,
-            key=lambda cell: (
-                centres[cell.data_centre],
-                racks[(cell.data_centre, cell.rack)],
-                targets[cell.target],
-                -cell.free.millicores,
-                cell.target,
+            key=lambda load: (
+                centres[load.data_centre],
+                racks[(load.data_centre, load.rack)],
+                targets[load.target],
+                -load.free.millicores,
+                load.target,
             ),
             default=None,
         )
--- a/mulberrywalk/core/preemption.py
+++ b/mulberrywalk/core/preemption.py
@@ -84,7 +84,7 @@
     specification = tables.specification(tables.tasks[attempt.task])
     if not specification.is_idempotent:
         return False
-    cell: fleet.Cell = tables.fleet.cells[attempt.target]
-    if not cell.is_open:
+    load: fleet.TargetLoad = tables.fleet.loads[attempt.target]
+    if not load.is_open:
         return False
-    return resource.fits(demand, resource.add(cell.free, attempt.held))
+    return resource.fits(demand, resource.add(load.free, attempt.held))
--- a/mulberrywalk/core/reducer.py
+++ b/mulberrywalk/core/reducer.py
@@ -12,6 +12,7 @@
 
 from . import (
     admission,
+    amendment,
     dispatch,
     effect,
     event,
@@ -85,7 +86,7 @@
             event.SessionExpired: _expire_session,
             event.DepartureAnnounced: _depart,
             event.ReportReceived: _report,
-            event.ConfigurationPatched: admission.patch,
+            event.ConfigurationPatched: amendment.patch,
             event.TimePassed: _pass_time,
         }
     )
--- a/mulberrywalk/core/session.py
+++ b/mulberrywalk/core/session.py
@@ -160,14 +160,14 @@
     )
     kinds = set(tables.fleet.capacities)
     tables.targets[record.target] = record
-    install_cell(tables, record)
+    install_load(tables, record)
     if set(tables.fleet.capacities) != kinds:
         _review_waiting(tables)
 
 
-def install_cell(tables: state.State, record: target.Target) -> None:
+def install_load(tables: state.State, record: target.Target) -> None:
     """Enter a target into the index, with what its attempts hold."""
-    old = tables.fleet.cells.get(record.target)
+    old = tables.fleet.loads.get(record.target)
     attempts = old.attempts if old else set()
     free = record.capacity
     for name in attempts:
@@ -175,7 +175,7 @@
     if old:
         tables.fleet.remove(record.target)
     tables.fleet.add(
-        fleet.Cell(
+        fleet.TargetLoad(
             target=record.target,
             data_centre=record.data_centre,
             rack=record.rack,
@@ -215,12 +215,12 @@
     # Earlier sessions of the target may still hold capacity.
     if not tables.session_counts[record.target]:
         tables.session_counts.pop(record.target)
-        _remove_target(tables, tables.fleet.cells[record.target])
+        _remove_target(tables, tables.fleet.loads[record.target])
 
 
-def _remove_target(tables: state.State, cell: fleet.Cell) -> None:
-    tables.fleet.remove(cell.target)
-    record = tables.targets.pop(cell.target)
-    tables.quarantined.discard((record.health.until, cell.target))
-    if cell.capacity not in tables.fleet.capacities:
+def _remove_target(tables: state.State, load: fleet.TargetLoad) -> None:
+    tables.fleet.remove(load.target)
+    record = tables.targets.pop(load.target)
+    tables.quarantined.discard((record.health.until, load.target))
+    if load.capacity not in tables.fleet.capacities:
         _review_waiting(tables)
--- a/mulberrywalk/core/snapshot.py
+++ b/mulberrywalk/core/snapshot.py
@@ -91,7 +91,7 @@
     for opened in tables.sessions.values():
         tables.session_counts[opened.target] += 1
     for record in tables.targets.values():
-        session.install_cell(tables, record)
+        session.install_load(tables, record)
         if record.health.until > tables.time:
             tables.quarantined.add((record.health.until, record.target))
         health.refresh(tables, record.target)
@@ -123,4 +123,4 @@
     if reservation is None:
         return
     for name in reservation.targets:
-        tables.fleet.reserve(tables.fleet.cells[name], reservation.job)
+        tables.fleet.reserve(tables.fleet.loads[name], reservation.job)
--- a/mulberrywalk/core/state.py
+++ b/mulberrywalk/core/state.py
@@ -205,10 +205,10 @@
         state.team_usage.pop(team, None)
     else:
         state.team_usage[team] = usage
-    cell = state.fleet.cells[attempt.target]
-    free = resource.subtract(cell.free, held)
+    load = state.fleet.loads[attempt.target]
+    free = resource.subtract(load.free, held)
     if attempt.attempt in state.attempts:
-        cell.attempts.add(attempt.attempt)
+        load.attempts.add(attempt.attempt)
     else:
-        cell.attempts.discard(attempt.attempt)
-    state.fleet.change(cell, free=free)
+        load.attempts.discard(attempt.attempt)
+    state.fleet.change(load, free=free)
--- a/mulberrywalk/core/usage.py
+++ b/mulberrywalk/core/usage.py
@@ -16,7 +16,7 @@
         and tables.attempts[used.attempt].session == received.session
     }
     for name in sorted(targets):
-        _relieve(tables, tables.fleet.cells[name])
+        _relieve(tables, tables.fleet.loads[name])
 
 
 def _correct_attempt(
@@ -34,14 +34,14 @@
     return attempt.target
 
 
-def _relieve(tables: state.State, cell: fleet.Cell) -> None:
+def _relieve(tables: state.State, load: fleet.TargetLoad) -> None:
     """Throttle, or else checkpoint and requeue, the least urgent work."""
-    if resource.fits(resource.NOTHING, cell.free):
+    if resource.fits(resource.NOTHING, load.free):
         return
-    victim = _choose_victim(tables, cell)
+    victim = _choose_victim(tables, load)
     if victim is None:
         return
-    if cell.free.memory_bytes >= 0 and not victim.is_throttled:
+    if load.free.memory_bytes >= 0 and not victim.is_throttled:
         throttled = msgspec.structs.replace(victim, is_throttled=True)
         state.replace_attempt(tables, throttled)
         tables.emit(effect.ThrottleAttempt(throttled))
@@ -50,8 +50,10 @@
     lifecycle.stop(tables, victim, job.StopReason.OVERUSED)
 
 
-def _choose_victim(tables: state.State, cell: fleet.Cell) -> job.Attempt | None:
-    attempts = map(tables.attempts.__getitem__, cell.attempts)
+def _choose_victim(
+    tables: state.State, load: fleet.TargetLoad
+) -> job.Attempt | None:
+    attempts = map(tables.attempts.__getitem__, load.attempts)
     candidates = [
         attempt
         for attempt in attempts
--- a/mulberrywalk/entry/connection.py
+++ b/mulberrywalk/entry/connection.py
@@ -8,13 +8,14 @@
 import msgspec
 from starlette import websockets
 
-from ..core import event, identity, target
+from ..core import event, identity, job, target
 from ..telemetry import clock, journal
 from ..transport import channel, codec, wire
 from . import protocol, upstream
 
 _SILENCE_S = 2.0
 _OPEN_S = 5.0
+_RENEWALS_S = 0.15
 _POLICY_VIOLATION = 1008
 _TRY_AGAIN = 1013
 
@@ -47,9 +48,19 @@
         self._leader = leader
         self._journal = lines
         self._open: dict[identity.SessionId, Connection] = {}
+        self._renewals: dict[identity.SessionId, int] = {}
         self._is_moving = False
         leader.hooks = upstream.Hooks(self._command, self._renew, self._end)
 
+    async def pass_on_renewals(self) -> None:
+        """Send the renewals of all targets in one message, for ever."""
+        while True:
+            await anyio.sleep(_RENEWALS_S)
+            if self._renewals:
+                gathered = tuple(self._renewals.items())
+                self._renewals.clear()
+                self._leader.send(wire.Renewals(gathered))
+
     def count(self) -> int:
         """Return how many targets are connected."""
         return len(self._open)
@@ -125,8 +136,7 @@
         self, connection: Connection, received: protocol.FromTarget
     ) -> None:
         if isinstance(received, protocol.Renew):
-            renewal = (connection.session, received.sequence)
-            self._leader.send(wire.Renewals((renewal,)))
+            self._renewals[connection.session] = received.sequence
         elif isinstance(received, protocol.Report):
             self._take_report(connection, received)
         elif isinstance(received, protocol.Leave):
@@ -141,8 +151,7 @@
         for started in received.started:
             self._keep(connection, started.attempt, 'runs', started.clock)
         for ended in received.ended:
-            reason = ended.reason.value
-            what = f'done: {reason}'
+            what = f'done: {ended.reason}'
             self._keep(connection, ended.attempt, what, ended.clock)
         self._leader.send(
             wire.Report(
@@ -257,7 +266,7 @@
 def _end_of(ended: protocol.Ended) -> event.AttemptEnd:
     return event.AttemptEnd(
         identity.AttemptId(ended.attempt),
-        ended.reason,
+        job.EndReason(ended.reason),
         clock.wall_of(ended.clock),
         ended.answer,
         ended.detail,
--- a/mulberrywalk/entry/program.py
+++ b/mulberrywalk/entry/program.py
@@ -98,6 +98,7 @@
     stop = anyio.Event()
     async with anyio.create_task_group() as group:
         group.start_soon(leader.run)
+        group.start_soon(targets.pass_on_renewals)
         group.start_soon(_drain_on_signal, settings, interface, targets, stop)
         group.start_soon(_serve_http, settings, interface, stop, group)
         lines.record('entry running', settings.listen)
--- a/mulberrywalk/entry/protocol.py
+++ b/mulberrywalk/entry/protocol.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from typing import Annotated, TypeAlias
+from typing import Annotated, Literal, TypeAlias
 
 import msgspec
 
@@ -86,7 +86,7 @@
     """An attempt that has ended, or that will never start."""
 
     attempt: str
-    reason: job.EndReason
+    reason: Literal['completed', 'failed', 'stopped', 'never_started']
     answer: Annotated[str, msgspec.Meta(max_length=MAX_ANSWER)] = ''
     detail: Annotated[str, msgspec.Meta(max_length=MAX_ANSWER)] = ''
     checkpoint: Annotated[str, msgspec.Meta(max_length=MAX_ANSWER)] = ''
--- a/mulberrywalk/replica/view.py
+++ b/mulberrywalk/replica/view.py
@@ -67,9 +67,9 @@
             'session': record.session,
             'is_leaving': record.is_leaving,
             'quarantined_until': record.health.until,
-            'attempts': len(tables.fleet.cells[record.target].attempts),
+            'attempts': len(tables.fleet.loads[record.target].attempts),
             'capacity': msgspec.to_builtins(record.capacity),
-            'free': msgspec.to_builtins(tables.fleet.cells[record.target].free),
+            'free': msgspec.to_builtins(tables.fleet.loads[record.target].free),
         }
         for _, record in sorted(tables.targets.items())
     ]
@@ -106,7 +106,7 @@
         'since': task.waiting_since,
         'not_before': task.not_before,
         'limiting': _limiting(tables, task, demand),
-        'targets': len(tables.fleet.cells),
+        'targets': len(tables.fleet.loads),
         'ruled_out': ruled_out,
     }
 
@@ -119,7 +119,7 @@
     team = tables.specification(task).team
     if share.is_over_quota(tables, team):
         return 'the team uses its whole quota'
-    if not tables.fleet.cells:
+    if not tables.fleet.loads:
         return 'there are no targets'
     if tables.specification(task).kind is job.Kind.GANG:
         return 'the targets do not hold all tasks at once'
@@ -132,8 +132,8 @@
     """Return the resources that most targets lack."""
     is_aside = task.task in tables.waiting.aside
     amounts = [
-        cell.capacity if is_aside else cell.free
-        for cell in tables.fleet.cells.values()
+        load.capacity if is_aside else load.free
+        for load in tables.fleet.loads.values()
     ]
     lacking = collections.Counter(
         itertools.chain.from_iterable(
@@ -149,26 +149,26 @@
     """Return how many targets each condition rules out."""
     conditions = collections.Counter(
         condition
-        for cell in tables.fleet.cells.values()
-        for condition in _conditions(tables, cell, demand)
+        for load in tables.fleet.loads.values()
+        for condition in _conditions(tables, load, demand)
     )
     return dict(sorted(conditions.items()))
 
 
 def _conditions(
-    tables: state.State, cell: fleet.Cell, demand: resource.Resources
+    tables: state.State, load: fleet.TargetLoad, demand: resource.Resources
 ) -> list[str]:
-    record = tables.targets[identity.TargetId(cell.target)]
-    conditions = resource.lacking(demand, cell.free)
+    record = tables.targets[identity.TargetId(load.target)]
+    conditions = resource.lacking(demand, load.free)
     if record.session is None:
         conditions.append('no_session')
     if record.is_leaving:
         conditions.append('leaving')
     if record.health.until > tables.time:
         conditions.append('quarantined')
-    if cell.is_probed and cell.attempts:
+    if load.is_probed and load.attempts:
         conditions.append('on_probation')
-    if cell.reserved_for is not None:
+    if load.reserved_for is not None:
         conditions.append('reserved_for_gang')
     return conditions
 
--- a/mulberrywalk/tools/replay.py
+++ b/mulberrywalk/tools/replay.py
@@ -126,8 +126,8 @@
                 self._end_later(effected.attempt, START_MS, was_stopped=True)
         if self.tables.waiting.queues:
             used = self.tables.fleet.total.millicores - sum(
-                cell.free.millicores
-                for cell in self.tables.fleet.cells.values()
+                load.free.millicores
+                for load in self.tables.fleet.loads.values()
             )
             whole = self.tables.fleet.total.millicores or 1
             self.seen.packed.append(used * resource.PARTS_PER_MILLION // whole)
