Show the time line of all entries in the demo

Cause: the demo asked one entry, so the lines of the other entry and of its targets were missing when the task ran there.

Change: the lines of all entries are merged.

--- a/demo/morning.py
+++ b/demo/morning.py
@@ -19,10 +19,12 @@
 from typing import Any
 
 import httpx
+import msgspec
 from rich.console import Console
 from rich.table import Table
 
 from demo import audit, cell
+from mulberrywalk.telemetry import clock, journal
 
 TEAM = 'kitamori'
 MEMORY = 1_073_741_824
@@ -38,7 +40,6 @@
 _TARGETS = 24
 _LINES_SHOWN = 40
 _PERCENTILES = (50, 99)
-_CLOCK_BITS = 16
 _WIDTH = 112
 _COLUMNS = (
     'work',
@@ -256,12 +257,21 @@
     shown = _most_tried(morning)
     console.print(f'time line of {shown.request_id}')
     job = shown.body['job']
-    timeline = running.get(f'/v1/timeline?job={job}')
-    for line in timeline['lines'][:_LINES_SHOWN]:
-        at = (line['clock'] >> _CLOCK_BITS) / MS_PER_S
-        clock = time.strftime('%H:%M:%S', time.gmtime(at))
-        told = (line['process'], line['what'], line['attempt'], line['detail'])
-        console.print(clock, *told)
+    for line in _collect_timeline(running, job)[:_LINES_SHOWN]:
+        at = clock.wall_of(line.clock) / MS_PER_S
+        shown_at = time.strftime('%H:%M:%S', time.gmtime(at))
+        told = (line.process, line.what, line.attempt, line.detail)
+        console.print(shown_at, *told)
+
+
+def _collect_timeline(running: cell.Cell, job: str) -> list[journal.Line]:
+    """Return the events of all processes about a job, in causal order."""
+    answers = [
+        running.get(f'/v1/timeline?job={job}', entry)
+        for entry, _ in enumerate(running.entry_addresses)
+    ]
+    lines = [line for answer in answers for line in answer['lines']]
+    return journal.merge(msgspec.convert(lines, type=list[journal.Line]))
 
 
 def _most_tried(morning: Morning) -> Told:
