Let any two faults strike at once, and lose a data centre

The feature names a fault, two at once, or one twice. Targets of a feature stand in three data centres; a group of processes can be cut from the rest. make pairs runs all 136 combinations. Conclusion: a new fault is one line, and is paired with all others.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BIN := .venv/bin
 export PYTHONPATH := .
 
-.PHONY: setup demo test lint format bench kills soak clean
+.PHONY: setup demo test lint format bench kills pairs soak clean
 
 setup: .venv/ready
 
@@ -34,6 +34,9 @@
 kills: setup
 	$(BIN)/python -m tests.kills
 
+pairs: setup
+	$(BIN)/python -m tests.pairs
+
 soak: setup
 	MULBERRYWALK_SOAK=1 $(BIN)/python -m pytest mulberrywalk/consensus
 
--- a/demo/cell.py
+++ b/demo/cell.py
@@ -46,6 +46,7 @@
     name: str
     command: list[str]
     log: pathlib.Path
+    data_centre: str = ''
     running: subprocess.Popen[bytes] | None = None
     killed_at: int = 0
 
@@ -60,6 +61,11 @@
                 env={**os.environ, 'PYTHONUNBUFFERED': '1'},
             )
 
+    def start_again(self) -> None:
+        """Start the process unless it runs."""
+        if self.running is None or self.running.poll() is not None:
+            self.start()
+
     def signal(self, number: int) -> None:
         """Send a signal if the process runs."""
         if self.running is not None and self.running.poll() is None:
@@ -93,6 +99,7 @@
     entries: int = 2
     targets: int = 24
     spares: int = 0
+    rack_size: int = RACK_SIZE
     behaviours: dict[int, str] = dataclasses.field(default_factory=dict)
     replica_options: tuple[str, ...] = ()
     entry_options: tuple[str, ...] = ()
@@ -150,8 +157,10 @@
     def add_replica(self, number: int) -> Process:
         """Return the process of a replica, not started."""
         name = f'replica-{number}'
+        data_centre = DATA_CENTRES[number % len(DATA_CENTRES)]
         return self._add(
             name,
+            data_centre,
             [
                 *program('replica'),
                 'run',
@@ -160,7 +169,7 @@
                 '--name',
                 name,
                 '--data-centre',
-                DATA_CENTRES[number % len(DATA_CENTRES)],
+                data_centre,
                 '--listen',
                 self.replica_addresses[number],
                 '--advertise',
@@ -174,14 +183,16 @@
     def add_entry(self, number: int) -> Process:
         """Return the process of an entry, not started."""
         name = f'entry-{number}'
+        data_centre = DATA_CENTRES[number % len(DATA_CENTRES)]
         return self._add(
             name,
+            data_centre,
             [
                 *program('entry'),
                 '--name',
                 name,
                 '--data-centre',
-                DATA_CENTRES[number % len(DATA_CENTRES)],
+                data_centre,
                 '--listen',
                 self.entry_addresses[number],
                 '--replicas',
@@ -195,9 +206,11 @@
         name = f'target-{number}'
         entries = self.dialled_entries
         turn = number % len(entries)
-        rack = number // RACK_SIZE
+        rack = number // self.plan.rack_size
+        data_centre = DATA_CENTRES[rack % len(DATA_CENTRES)]
         return self._add(
             name,
+            data_centre,
             [
                 sys.executable,
                 '-m',
@@ -205,7 +218,7 @@
                 name,
                 ','.join([*entries[turn:], *entries[:turn]]),
                 '--data-centre',
-                DATA_CENTRES[rack % len(DATA_CENTRES)],
+                data_centre,
                 '--rack',
                 f'rack-{rack}',
                 '--behaviour',
@@ -258,9 +271,9 @@
         data_centre = DATA_CENTRES[place % len(DATA_CENTRES)]
         return f'replica-{place}={address}@{data_centre}'
 
-    def _add(self, name: str, command: list[str]) -> Process:
+    def _add(self, name: str, data_centre: str, command: list[str]) -> Process:
         log = self.plan.folder / f'{name}.log'
-        self.processes[name] = Process(name, command, log)
+        self.processes[name] = Process(name, command, log, data_centre)
         return self.processes[name]
 
     def _is_ready(self, targets: int) -> bool:
--- a/tests/guarantees.feature
+++ b/tests/guarantees.feature
@@ -10,21 +10,33 @@
     Then no promise was broken
 
     Examples:
-      | seed | fault                                            |
-      | 1    | the leader is killed                             |
-      | 2    | the leader is killed twice                       |
-      | 3    | an entry is killed and started again             |
-      | 4    | two targets are killed                           |
-      | 5    | the leader is paused past every lease            |
-      | 6    | a target is paused past its lease                |
-      | 7    | an entry is paused past every lease              |
-      | 8    | the leader is isolated for 12 seconds            |
-      | 14   | the leader is heard but hears nothing for 12 seconds |
-      | 9    | all connections of the leader fall silent        |
-      | 10   | all connections of an entry fall silent          |
-      | 11   | the leader and a target are killed at once       |
-      | 12   | an entry is isolated and the leader is killed    |
-      | 13   | all replicas are killed and started again        |
+      | seed | fault                                     |
+      | 1    | the leader is killed                      |
+      | 2    | the leader is killed twice                |
+      | 3    | an entry is killed                        |
+      | 4    | two targets are killed                    |
+      | 5    | the leader is paused                      |
+      | 6    | a target is paused                        |
+      | 7    | an entry is paused                        |
+      | 8    | the leader is isolated                    |
+      | 14   | the leader hears nothing                  |
+      | 9    | all connections of the leader fall silent |
+      | 10   | all connections of an entry fall silent   |
+      | 13   | all replicas are killed                   |
+      | 15   | a data centre is lost                     |
+      | 16   | a data centre is cut off                  |
+
+  Scenario Outline: The promises hold through two faults at once
+    Given a cell with 2 entries and 8 targets
+    And callers and operators at work with seed <seed>
+    When <fault> and <other> at once
+    Then no promise was broken
+
+    Examples:
+      | seed | fault                  | other                  |
+      | 11   | the leader is killed   | two targets are killed |
+      | 12   | the leader is killed   | an entry is isolated   |
+      | 17   | the leader is isolated | a target is paused     |
 
   Scenario: A lost disk and a second loss right after the repair
     Given a cell with 2 entries and 6 targets and 1 spare
--- /dev/null
+++ b/tests/pairs.py
@@ -0,0 +1,86 @@
+"""Runs every pair of faults at once and every fault twice; by make pairs."""
+
+from __future__ import annotations
+
+import itertools
+import pathlib
+import shutil
+import sys
+import tempfile
+from collections.abc import Iterator
+from typing import Annotated
+
+import typer
+
+from demo import cell
+from tests import fault, scene
+from tests import load as work_load
+
+_FIRST_SEED = 1000
+_TARGETS = 8
+_REPAIR_MS = '3000'
+
+
+def main(
+    lane: Annotated[int, typer.Option(help='Which part is run.')] = 0,
+    lanes: Annotated[int, typer.Option(help='Into how many parts.')] = 1,
+    seed: Annotated[int, typer.Option(help='One case only, by seed.')] = 0,
+) -> None:
+    """Run cases and print a line for each; exit 1 when any failed."""
+    chosen = [
+        (number, names)
+        for number, names in enumerate(_cases(), start=_FIRST_SEED)
+        if number == (seed or number) and number % lanes == lane
+    ]
+    outcomes = [_run(number, names) for number, names in chosen]
+    held = sum(outcomes)
+    sys.stdout.write(f'{held} of {len(outcomes)} cases held\n')
+    if held < len(outcomes):
+        raise typer.Exit(1)
+
+
+def _cases() -> Iterator[tuple[str, str]]:
+    """Yield pairs of faults; a pair of equal ones strikes twice."""
+    yield from itertools.combinations_with_replacement(fault.FAULTS, 2)
+
+
+def _run(seed: int, names: tuple[str, str]) -> bool:
+    folder = pathlib.Path(tempfile.mkdtemp(prefix='pairs-'))
+    violations = _suffer(folder, seed, names)
+    sys.stdout.write(f'{seed} | {names[0]} | {names[1]} | ')
+    if violations:
+        sys.stdout.write(f'broken, see {folder}: {violations[:3]}\n')
+    else:
+        sys.stdout.write('held\n')
+        shutil.rmtree(folder)
+    sys.stdout.flush()
+    return not violations
+
+
+def _suffer(
+    folder: pathlib.Path, seed: int, names: tuple[str, str]
+) -> list[str]:
+    plan = cell.Plan(
+        folder,
+        targets=_TARGETS,
+        spares=1,
+        rack_size=2,
+        replica_options=('--repair-after-ms', _REPAIR_MS),
+    )
+    struck = scene.prepare(plan)
+    try:
+        struck.running.start()
+        struck.start_work(work_load.Mix(), seed)
+        if names[0] == names[1]:
+            fault.suffer_twice(struck, names[0])
+        else:
+            fault.suffer(struck, *names)
+        return scene.find_violations(struck)
+    except (AssertionError, cell.CellError) as error:
+        return [repr(error)]
+    finally:
+        struck.close()
+
+
+if __name__ == '__main__':
+    typer.run(main)
--- a/tests/relay.py
+++ b/tests/relay.py
@@ -36,7 +36,7 @@
     def __init__(self, pids: Pids) -> None:
         """Start the thread; pids names the processes that may connect."""
         self._pids = pids
-        self._cut: set[str] = set()
+        self._cut: list[set[str]] = []
         self._deaf: set[str] = set()
         self._open: set[Connection] = set()
         self._loop = asyncio.new_event_loop()
@@ -51,10 +51,10 @@
         asyncio.run_coroutine_threadsafe(listening, self._loop).result()
         return f'127.0.0.1:{port}'
 
-    def isolate(self, name: str) -> None:
-        """Let no byte through from or to a process."""
+    def isolate(self, *names: str) -> None:
+        """Let no byte through between these processes and the others."""
         self._name_sources()
-        self._cut.add(name)
+        self._cut.append(set(names))
         asyncio.run_coroutine_threadsafe(self._keep_naming(), self._loop)
 
     def deafen(self, name: str) -> None:
@@ -142,8 +142,11 @@
         return bool(self._cut) and connection.source is None
 
     def _is_cut(self, connection: Connection) -> bool:
-        ends = {connection.source, connection.destination}
-        return bool(ends & self._cut) or connection.destination in self._deaf
+        is_across = any(
+            (connection.source in group) != (connection.destination in group)
+            for group in self._cut
+        )
+        return is_across or connection.destination in self._deaf
 
     def _name_sources(self) -> None:
         """Find the processes at the near ends of all connections."""
