Spend fewer instructions on a task start in the reducer

Cause: a profile of 6,000 tasks at 2,400 targets shows the shares of teams and urgencies (a generator for each share), hashes of enumeration members computed in the interpreter, an ordered list built for each queued task even where its queue exists, and the fairness of the teams worked out in passes with an empty queue. Change: shares written out, states as string enumerations, the queue built only when it is missing, passes without queues skip the fairness.

--- a/mulberrywalk/core/dispatch.py
+++ b/mulberrywalk/core/dispatch.py
@@ -52,6 +52,11 @@
     health.release_due(tables)
     admission.forget_finished(tables)
     gang.review(tables)
+    if tables.waiting.queues:
+        _serve_queues(tables)
+
+
+def _serve_queues(tables: state.State) -> None:
     fairness = share.assess(tables)
     turns = [turn_of(tables, key, fairness) for key in tables.waiting.queues]
     heapq.heapify(turns)
--- a/mulberrywalk/core/job.py
+++ b/mulberrywalk/core/job.py
@@ -28,7 +28,7 @@
 ]
 
 
-class Kind(enum.Enum):
+class Kind(enum.StrEnum):
     """How the tasks of a job are placed."""
 
     SERVICE = 'service'
@@ -37,7 +37,7 @@
     REQUEST = 'request'
 
 
-class Urgency(enum.Enum):
+class Urgency(enum.StrEnum):
     """Which work goes first; the order is that of the members."""
 
     CRITICAL = 'critical'
@@ -46,7 +46,7 @@
     LOW = 'low'
 
 
-class JobState(enum.Enum):
+class JobState(enum.StrEnum):
     """Where a job stands; all but the first two are final."""
 
     QUEUED = 'queued'
@@ -57,7 +57,7 @@
     UNKNOWN = 'unknown'
 
 
-class TaskState(enum.Enum):
+class TaskState(enum.StrEnum):
     """Where a task stands; all but the first three are final."""
 
     WAITING = 'waiting'
@@ -79,7 +79,7 @@
 )
 
 
-class EndReason(enum.Enum):
+class EndReason(enum.StrEnum):
     """Why an attempt ended."""
 
     COMPLETED = 'completed'
@@ -90,7 +90,7 @@
     ANSWER_TOO_LARGE = 'answer_too_large'
 
 
-class StopReason(enum.Enum):
+class StopReason(enum.StrEnum):
     """Why an attempt is being stopped."""
 
     CANCELLED = 'cancelled'
--- a/mulberrywalk/core/resource.py
+++ b/mulberrywalk/core/resource.py
@@ -80,16 +80,14 @@
 
 def dominant_share(used: Resources, capacity: Resources) -> int:
     """Return the largest used part of any resource, in parts per million."""
-    pairs = zip(
-        msgspec.structs.astuple(used),
-        msgspec.structs.astuple(capacity),
-        strict=True,
-    )
+    # Written out, because every turn of a queue asks for several shares.
     return max(
-        (
-            part * PARTS_PER_MILLION // whole
-            for part, whole in pairs
-            if whole > 0
-        ),
-        default=0,
+        _part(used.millicores, capacity.millicores),
+        _part(used.memory_bytes, capacity.memory_bytes),
+        _part(used.accelerators, capacity.accelerators),
+        _part(used.slots, capacity.slots),
     )
+
+
+def _part(used: int, whole: int) -> int:
+    return used * PARTS_PER_MILLION // whole if whole > 0 else 0
--- a/mulberrywalk/core/waiting.py
+++ b/mulberrywalk/core/waiting.py
@@ -49,7 +49,12 @@
 
     def add(self, key: QueueKey, position: Position) -> None:
         """Let a task wait in its queue."""
-        self.queues.setdefault(key, SortedList()).add(position)
+        queue = self.queues.get(key)
+        if queue is None:
+            # Not setdefault: it would build a list for each task.
+            queue = SortedList()
+            self.queues[key] = queue
+        queue.add(position)
 
     def discard(self, key: QueueKey, position: Position) -> None:
         """Take a task out of its queue if it is there."""
