Place tasks where they strand least, and grade the headroom

Cause: swatch matches waited 49 ms at p99 (target 20) in a calm cell. A trace of each pass that left one waiting shows 80 to 85% of the cell used: targets with free processors had no slot left and targets with free slots had no processor. Batch packed by the largest remaining share, requests took the most free processor, neither looked at the balance of the two. Where the cell was truly full, the counter's team was above its due share by slots (25% against 20 to 25%), so that the headroom was closed to it as to the flood. Change: batch goes where it adds least to what is free but unusable, requests where the scarcest resource stays freest; headroom 7.5% for low, in steps down to a quarter of it for critical urgency.

--- a/mulberrywalk/core/configuration.py
+++ b/mulberrywalk/core/configuration.py
@@ -14,7 +14,7 @@
 # Shares in parts per million, queue bounds in tasks of one team.
 _FLOOR = 150_000
 _LOW_FLOOR = 50_000
-_HEADROOM = 50_000
+_HEADROOM = 75_000
 _SHORT_QUEUE = 2000
 _LONG_QUEUE = 10_000
 
--- a/mulberrywalk/core/dispatch.py
+++ b/mulberrywalk/core/dispatch.py
@@ -100,7 +100,7 @@
     if share.is_over_quota(tables, key.team):
         return False
     is_lent = turn.is_above_floor and turn.is_above_due
-    if is_lent and not _has_headroom(tables):
+    if is_lent and not _has_headroom(tables, key.rank):
         return False
     positions = tables.waiting.heads(key, _LOOK_AHEAD)
     if any(_place(tables, position.task) for position in positions):
@@ -110,8 +110,14 @@
     return False
 
 
-def _has_headroom(tables: state.State) -> bool:
-    headroom = tables.configuration.document.headroom
+def _has_headroom(tables: state.State, rank: int) -> bool:
+    """Return whether lent capacity may still be taken.
+
+    The headroom is graded: the most urgent leave a part of it, the least
+    urgent all of it, so that urgent work finds room that others left.
+    """
+    whole = tables.configuration.document.headroom
+    headroom = whole * (rank + 1) // len(_URGENCIES)
     return share.of_all(tables) < resource.PARTS_PER_MILLION - headroom
 
 
--- a/mulberrywalk/core/placement.py
+++ b/mulberrywalk/core/placement.py
@@ -64,7 +64,11 @@
 
 
 class BatchPolicy(Policy):
-    """Packs: the target that is left with the least unused capacity."""
+    """Packs: keeps what stays free on a target usable together.
+
+    A target whose slots are gone while processors are free, or the other way
+    round, can take nothing more: the task goes where it adds least to that.
+    """
 
     def candidates(
         self, loads: fleet.Fleet, request: Request
@@ -75,14 +79,16 @@
     def prefer(
         self, candidates: list[fleet.TargetLoad], request: Request
     ) -> fleet.TargetLoad | None:
-        """Return the target whose largest remaining share is smallest."""
+        """Return the target on which the least more is stranded."""
         return min(
             candidates,
             key=lambda load: (
-                resource.dominant_share(
+                resource.stranded(
                     resource.subtract(load.free, request.demand),
                     load.capacity,
-                ),
+                )
+                - resource.stranded(load.free, load.capacity),
+                load.free.millicores,
                 load.target,
             ),
             default=None,
@@ -90,7 +96,7 @@
 
 
 class RequestPolicy(Policy):
-    """Spreads: the target with the most free processor answers soonest."""
+    """Spreads: leaves room for the next request on as many targets."""
 
     def candidates(
         self, loads: fleet.Fleet, request: Request
@@ -101,8 +107,20 @@
     def prefer(
         self, candidates: list[fleet.TargetLoad], request: Request
     ) -> fleet.TargetLoad | None:
-        """Return the first, which has the most free processor."""
-        return candidates[0] if candidates else None
+        """Return the target whose scarcest resource stays freest."""
+        return max(
+            candidates,
+            key=lambda load: (
+                min(
+                    resource.parts(
+                        resource.subtract(load.free, request.demand),
+                        load.capacity,
+                    )
+                ),
+                load.target,
+            ),
+            default=None,
+        )
 
 
 class ServicePolicy(Policy):
--- a/mulberrywalk/core/reducer_test.py
+++ b/mulberrywalk/core/reducer_test.py
@@ -488,6 +488,19 @@
     assert cell.task(urgent.job).state is job.TaskState.PLACED
 
 
+def test_headroom_is_open_to_urgent_work_above_its_due_share():
+    cell = Cell(targets=8)
+    urgent = {'team': 'night', 'urgency': job.Urgency.CRITICAL}
+    cell.submit(specify(1, job.Kind.SERVICE, team='steady'))
+    cell.submit(specify(2, count=4, **urgent))
+    cell.submit(specify(3, count=60, team='night', urgency=job.Urgency.LOW))
+    cell.dispatch()
+    assert len(cell.tables.attempts) == 23
+    cell.submit(specify(4, count=8, **urgent))
+    cell.dispatch()
+    assert len(cell.tables.attempts) == 24
+
+
 def test_urgent_flood_does_not_starve_a_team_within_its_due_share():
     cell = Cell(targets=8)
     flood = specify(1, count=60, team='flood', urgency=job.Urgency.CRITICAL)
--- a/mulberrywalk/core/resource.py
+++ b/mulberrywalk/core/resource.py
@@ -78,6 +78,33 @@
     )
 
 
+def parts(amount: Resources, whole: Resources) -> list[int]:
+    """Return the part of each resource that is offered, in parts per million.
+
+    Resources of which there are none are left out.
+    """
+    pairs = (
+        (amount.millicores, whole.millicores),
+        (amount.memory_bytes, whole.memory_bytes),
+        (amount.accelerators, whole.accelerators),
+        (amount.slots, whole.slots),
+    )
+    return [
+        part * PARTS_PER_MILLION // offered
+        for part, offered in pairs
+        if offered
+    ]
+
+
+def stranded(free: Resources, capacity: Resources) -> int:
+    """Return by how much free resources exceed the scarcest of them.
+
+    The sum over the resources, in parts per million of what is offered.
+    """
+    free_parts = parts(free, capacity)
+    return sum(free_parts) - len(free_parts) * min(free_parts)
+
+
 def dominant_share(used: Resources, capacity: Resources) -> int:
     """Return the largest used part of any resource, in parts per million."""
     # Written out, because every turn of a queue asks for several shares.
