Preempt for a gang only on the targets that are kept for it

A gang below its floor waited for six places; each pass stopped one batch task for it, the gang still did not fit as a whole, and the batch queue took the place back, up to every 5 ms. In the test that now stands for it the gang was not placed within 5 s at all. Ruled out: the black hole itself (7 of its tasks failed: 3, then one probe in each quarantine), retries by the budget. Change: for a gang that was not placed yet, victims are taken only from the targets that are reserved for it, so that what becomes free stays free; and no more attempts are in the way of being stopped than tasks wait. Conclusion: capacity is taken back only where it can be kept.

--- a/mulberrywalk/core/dispatch.py
+++ b/mulberrywalk/core/dispatch.py
@@ -124,7 +124,7 @@
 def _place(tables: state.State, name: identity.TaskId) -> bool:
     task = tables.tasks[name]
     specification = tables.specification(task)
-    if specification.kind is job.Kind.GANG and not task.attempts:
+    if gang.is_whole(tables, task):
         return gang.place(tables, task)
     load = choose(tables, task, specification)
     if load is None:
--- a/mulberrywalk/core/gang.py
+++ b/mulberrywalk/core/gang.py
@@ -28,6 +28,12 @@
     free: resource.Resources
 
 
+def is_whole(tables: state.State, task: job.Task) -> bool:
+    """Return whether a task stands for a gang that was not placed yet."""
+    kind = tables.specification(task).kind
+    return kind is job.Kind.GANG and not task.attempts
+
+
 def place(tables: state.State, first: job.Task) -> bool:
     """Place all tasks of a gang or none; the first stands for all.
 
--- a/mulberrywalk/core/preemption.py
+++ b/mulberrywalk/core/preemption.py
@@ -6,6 +6,7 @@
 
 from . import (
     fleet,
+    gang,
     identity,
     job,
     lifecycle,
@@ -28,7 +29,9 @@
 
     Victims are idempotent attempts of urgencies above their floor, the least
     urgent and latest placed first. Few are stopped at a time, because each
-    needs a while to end.
+    needs a while to end, and never more than tasks wait. For a gang they are
+    taken from the targets that are kept for it: elsewhere other work would
+    take what becomes free before the whole gang fits.
     """
     urgency = _URGENCIES[key.rank]
     if share.is_above_floor(tables, urgency):
@@ -36,10 +39,10 @@
     waited_ms = tables.time - task.waiting_since
     if waited_ms < _PATIENCE_MS:
         return
-    if tables.preempting >= _MAX_IN_FLIGHT:
+    wanted = min(_MAX_IN_FLIGHT, tables.waiting.counts[key])
+    if tables.preempting >= wanted:
         return
-    demand = tables.task_specification(task).demand()
-    victim = choose_victim(tables, urgency, demand)
+    victim = choose_victim(tables, urgency, task)
     if victim is not None:
         lifecycle.stop(tables, victim, job.StopReason.PREEMPTED)
 
@@ -47,27 +50,34 @@
 def choose_victim(
     tables: state.State,
     urgency: job.Urgency,
-    demand: resource.Resources,
+    task: job.Task,
 ) -> job.Attempt | None:
     """Return the attempt to stop, or None when there is none to take."""
+    demand = tables.task_specification(task).demand()
+    kept_for = None
+    if gang.is_whole(tables, task):
+        kept_for = task.job
     for other in reversed(_URGENCIES):
         if other is urgency or not share.is_above_floor(tables, other):
             continue
-        victim = _find_victim(tables, other, demand)
+        victim = _find_victim(tables, other, demand, kept_for)
         if victim is not None:
             return victim
     return None
 
 
 def _find_victim(
-    tables: state.State, urgency: job.Urgency, demand: resource.Resources
+    tables: state.State,
+    urgency: job.Urgency,
+    demand: resource.Resources,
+    kept_for: identity.JobId | None,
 ) -> job.Attempt | None:
     latest = itertools.islice(reversed(tables.by_urgency[urgency]), _SCANNED)
     return next(
         (
             tables.attempts[name]
             for _, name in latest
-            if _is_eligible(tables, name, demand)
+            if _is_eligible(tables, name, demand, kept_for)
         ),
         None,
     )
@@ -77,6 +87,7 @@
     tables: state.State,
     name: identity.AttemptId,
     demand: resource.Resources,
+    kept_for: identity.JobId | None,
 ) -> bool:
     attempt = tables.attempts[name]
     if attempt.stopping is not None:
@@ -85,6 +96,6 @@
     if not specification.is_idempotent:
         return False
     load: fleet.TargetLoad = tables.fleet.loads[attempt.target]
-    if not load.is_open:
+    if not load.is_open or load.reserved_for != kept_for:
         return False
     return resource.fits(demand, resource.add(load.free, attempt.held))
--- a/mulberrywalk/core/reducer_test.py
+++ b/mulberrywalk/core/reducer_test.py
@@ -444,6 +444,22 @@
     assert cell.task(low.job).state is job.TaskState.PLACED
 
 
+def test_preemption_for_a_gang_stops_no_more_than_it_needs():
+    cell = Cell(targets=4)
+    cell.submit(specify(1, count=60, team='night', urgency=job.Urgency.LOW))
+    cell.dispatch()
+    gang = cell.submit(specify(2, job.Kind.GANG, count=6, team='press'))
+    stopped = 0
+    for _ in range(100):
+        effects = cell.dispatch(50)
+        for effected in effects:
+            if isinstance(effected, effect.StopAttempt):
+                cell.report(effected.attempt, job.EndReason.STOPPED)
+                stopped += 1
+    assert cell.task(gang.job).state is job.TaskState.PLACED
+    assert stopped <= 6
+
+
 def test_overuse_throttles_then_requeues_the_least_urgent():
     cell = Cell(targets=1)
     cell.submit(specify(1, urgency=job.Urgency.CRITICAL))
