Let the load tool cause black holes, wrong declarations and cancel waves

The report counts cancelled and retried tasks. Replay carries out stops wherever they arise, not after passes alone.

--- a/mulberrywalk/tools/load.py
+++ b/mulberrywalk/tools/load.py
@@ -24,7 +24,7 @@
 _CONNECTIONS = 200
 _WIDTH = 120
 _REPORT = pathlib.Path('run/load')
-_FAMILIES = ('submitted', 'refused', 'completed')
+_FAMILIES = ('submitted', 'refused', 'completed', 'cancelled', 'retried')
 
 application = typer.Typer(
     add_completion=False, no_args_is_help=True, help=__doc__
@@ -35,18 +35,25 @@
     pathlib.Path, typer.Option('--report', help='Folder for the report.')
 ]
 
+FaultsFile = Annotated[
+    pathlib.Path | None,
+    typer.Option('--faults', help='JSON file of what goes wrong.'),
+]
+
 
 @application.command('replay')
 def run_replay(
     path: MixFile,
     seed: int = 1,
+    faults: FaultsFile = None,
     folder: Folder = _REPORT,
 ) -> None:
     """Replay a mix over the reducer: without and with its flood.
 
-    The same arrivals are given to a first-come first-fit baseline.
+    The same arrivals are given to a first-come first-fit baseline, which
+    knows no faults.
     """
-    flooded = mix.load(path)
+    flooded = _load(path, faults)
     calm = msgspec.structs.replace(flooded, flood=None)
     runs = [
         _replay_one('calm', calm, seed),
@@ -63,19 +70,27 @@
     path: MixFile,
     entries: Annotated[str, typer.Option(envvar='MULBERRYWALK_ENTRIES')],
     seed: int = 1,
+    faults: FaultsFile = None,
     folder: Folder = _REPORT,
 ) -> None:
     """Submit a mix to running entries, open loop, and time the answers.
 
     Arrivals do not wait for answers; waits count from the intended start.
     """
-    planned = mix.load(path)
+    planned = _load(path, faults)
     addresses = tuple(entries.split(','))
     seen = anyio.run(_submit_all, planned, addresses, seed)
     runs = (report.summarize('processes', seen),)
     _finish(report.Report(_command(), seed, runs), folder)
 
 
+def _load(path: pathlib.Path, faults: pathlib.Path | None) -> mix.Mix:
+    planned = mix.load(path)
+    if faults is None:
+        return planned
+    return msgspec.structs.replace(planned, faults=mix.load_faults(faults))
+
+
 def _replay_one(name: str, planned: mix.Mix, seed: int) -> report.RunReport:
     running = replay.Replay(planned.plan())
     until = planned.duration_ms + _SETTLE_MS
--- a/mulberrywalk/tools/mix.py
+++ b/mulberrywalk/tools/mix.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import json
 import pathlib
 import random
@@ -42,6 +43,26 @@
     until_ms: int
 
 
+class CancelWave(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Callers cancel a share of one kind of work, all at the same time."""
+
+    label: str
+    at_ms: int
+    share: float
+
+
+class Faults(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """What goes wrong in a run.
+
+    black_holes is how many targets fail everything they start; memory_factor
+    by how much a kind of work uses more memory than it declares.
+    """
+
+    black_holes: int = 0
+    memory_factor: dict[str, float] = msgspec.field(default_factory=dict)
+    cancel_waves: tuple[CancelWave, ...] = ()
+
+
 class Mix(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """A deployment and its work."""
 
@@ -55,6 +76,7 @@
     duration_ms: int
     works: tuple[Work, ...]
     flood: Flood | None = None
+    faults: Faults = Faults()
 
     def plan(self) -> replay.FleetPlan:
         """Return the fleet of the deployment."""
@@ -62,15 +84,33 @@
             self.millicores, self.memory_mb << MEBIBYTE_BITS, 0, self.slots
         )
         return replay.FleetPlan(
-            self.targets, capacity, self.rack_size, self.data_centres
+            self.targets,
+            capacity,
+            self.rack_size,
+            self.data_centres,
+            self.faults.black_holes,
         )
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Draw:
+    """When a job arrives, its number, and its use of declared memory."""
+
+    at: int
+    number: int
+    memory_factor: float
+
+
 def load(path: pathlib.Path) -> Mix:
     """Read a mix from a JSON file; raises msgspec.ValidationError."""
     return msgspec.json.decode(path.read_bytes(), type=Mix)
 
 
+def load_faults(path: pathlib.Path) -> Faults:
+    """Read faults from a JSON file; raises msgspec.ValidationError."""
+    return msgspec.json.decode(path.read_bytes(), type=Faults)
+
+
 def arrivals(planned: Mix, seed: int) -> list[replay.Arrival]:
     """Return the jobs of a mix in order of their arrival."""
     made = [
@@ -88,9 +128,22 @@
         dice = random.Random(seed * 1000 - 1)  # noqa: S311
         window = (flood.from_ms, flood.until_ms)
         made.extend(_arrive(planned, flood.work, dice, window))
+    for wave in planned.faults.cancel_waves:
+        dice = random.Random(seed * 1000 + wave.at_ms)  # noqa: S311
+        made = [_cancel(arrival, wave, dice) for arrival in made]
     return sorted(made, key=lambda arrival: arrival.at)
 
 
+def _cancel(
+    arrival: replay.Arrival, wave: CancelWave, dice: random.Random
+) -> replay.Arrival:
+    if arrival.label != wave.label or arrival.at >= wave.at_ms:
+        return arrival
+    if dice.random() >= wave.share:
+        return arrival
+    return dataclasses.replace(arrival, cancel_at=wave.at_ms)
+
+
 def _arrive(
     planned: Mix,
     work: Work,
@@ -108,27 +161,32 @@
         if at >= window[1]:
             return
         number += 1
-        yield _make(work, dice, round(at), number)
+        factor = planned.faults.memory_factor.get(work.label, 0)
+        yield _make(work, dice, Draw(round(at), number, factor))
 
 
-def _make(
-    work: Work, dice: random.Random, at: int, number: int
-) -> replay.Arrival:
+def _make(work: Work, dice: random.Random, draw: Draw) -> replay.Arrival:
     drawn_ms = round(dice.expovariate(1 / work.run_ms))
     run_ms = max(work.run_ms // 10, drawn_ms)
+    millicores = dice.choice(work.millicores)
+    memory_bytes = dice.choice(work.memory_mb) << MEBIBYTE_BITS
+    used_bytes = round(memory_bytes * draw.memory_factor)
+    payload = {'run_ms': run_ms, 'label': f'{work.label}{draw.number}'}
+    if used_bytes:
+        payload['use_bytes'] = used_bytes
     needs = job.TaskSpecification(
-        millicores=dice.choice(work.millicores),
-        memory_bytes=dice.choice(work.memory_mb) << MEBIBYTE_BITS,
+        millicores=millicores,
+        memory_bytes=memory_bytes,
         estimate_ms=max(1, round(run_ms * work.declared_factor)),
-        payload=json.dumps(
-            {'run_ms': run_ms, 'label': f'{work.label}{number}'}
-        ),
+        payload=json.dumps(payload),
     )
     specification = job.Specification(
-        request_id=f'{work.label}-{number}'.replace(' ', '-'),
+        request_id=f'{work.label}-{draw.number}'.replace(' ', '-'),
         team=work.team,
         kind=work.kind,
         tasks=(needs,) * work.tasks,
         urgency=work.urgency,
     )
-    return replay.Arrival(at, work.label, specification, run_ms)
+    return replay.Arrival(
+        draw.at, work.label, specification, run_ms, used_bytes
+    )
--- a/mulberrywalk/tools/replay.py
+++ b/mulberrywalk/tools/replay.py
@@ -27,34 +27,46 @@
 NS_PER_MS = 1_000_000
 BATCH_MS = 5
 START_MS = 2
+USAGE_MS = 1000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class FleetPlan:
-    """How many targets there are and what each holds."""
+    """How many targets there are and what each holds.
+
+    The first black_holes of them fail everything they start.
+    """
 
     targets: int
     capacity: resource.Resources
     rack_size: int
     data_centres: int
+    black_holes: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Arrival:
-    """A job and when it is submitted; run_ms is how long its tasks take."""
+    """A job and when it is submitted; run_ms is how long its tasks take.
+
+    used_bytes is what each of its tasks uses, zero for what it declares.
+    cancel_at is when its caller cancels it, zero for never.
+    """
 
     at: int
     label: str
     specification: job.Specification
     run_ms: int
+    used_bytes: int = 0
+    cancel_at: int = 0
 
 
 @dataclasses.dataclass(slots=True)
 class Seen:
     """What a replay has seen; waits in milliseconds by label.
 
-    packed sums, over the passes that left work waiting, the used part of the
-    processors in parts per million.
+    retried counts attempts beyond the first of a task. packed lists, over
+    the passes that left work waiting, the used part of the processors in
+    parts per million.
     """
 
     waits: dict[str, list[int]] = dataclasses.field(
@@ -69,6 +81,12 @@
     completed: collections.Counter[str] = dataclasses.field(
         default_factory=collections.Counter
     )
+    cancelled: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    retried: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
     packed: list[int] = dataclasses.field(default_factory=list)
     starts: int = 0
     event_ns: list[int] = dataclasses.field(default_factory=list)
@@ -85,6 +103,7 @@
         self._timers: list[tuple[int, int, event.Event]] = []
         self._numbers = itertools.count()
         self._labels: dict[identity.JobId, Arrival] = {}
+        self._black_holes = {f't{number}' for number in range(plan.black_holes)}
         for number in range(plan.targets):
             self._apply(event.SessionOpened(self._now, announce(plan, number)))
 
@@ -115,15 +134,14 @@
         told = answer.outcome if isinstance(answer, effect.Answer) else None
         if isinstance(told, outcome.Accepted):
             self._labels[told.job] = arrival
+            if arrival.cancel_at:
+                cancelled = event.JobCancelled(arrival.cancel_at, told.job)
+                self._later(arrival.cancel_at - self._now, cancelled)
         else:
             self.seen.refused[arrival.label] += count
 
     def _dispatch(self) -> None:
-        for effected in self._apply(event.TimePassed(self._now)):
-            if isinstance(effected, effect.StartAttempt):
-                self._start(effected.attempt)
-            elif isinstance(effected, effect.StopAttempt):
-                self._end_later(effected.attempt, START_MS, was_stopped=True)
+        self._apply(event.TimePassed(self._now))
         if self.tables.waiting.queues:
             used = self.tables.fleet.total.millicores - sum(
                 load.free.millicores
@@ -138,27 +156,41 @@
         if task.attempts == 1:
             waited = self._now - arrival.at
             self.seen.waits[arrival.label].append(waited)
+        else:
+            self.seen.retried[arrival.label] += 1
         self.seen.starts += 1
+        if attempt.target in self._black_holes:
+            self._end_later(attempt, START_MS, job.EndReason.FAILED)
+            return
         started = event.AttemptStart(attempt.attempt, self._now)
-        self._later(
-            START_MS,
-            event.ReportReceived(
-                self._now + START_MS, attempt.session, started=(started,)
-            ),
-        )
-        self._end_later(attempt, arrival.run_ms, was_stopped=False)
+        self._report_later(attempt, START_MS, started=(started,))
+        if arrival.used_bytes and arrival.run_ms > USAGE_MS:
+            used = event.AttemptUsage(
+                attempt.attempt, attempt.held.millicores, arrival.used_bytes
+            )
+            self._report_later(attempt, USAGE_MS, usage=(used,))
+        self._end_later(attempt, arrival.run_ms, job.EndReason.COMPLETED)
 
     def _end_later(
-        self, attempt: job.Attempt, delay_ms: int, *, was_stopped: bool
+        self, attempt: job.Attempt, delay_ms: int, reason: job.EndReason
     ) -> None:
         at = self._now + delay_ms
-        reason = (
-            job.EndReason.STOPPED if was_stopped else job.EndReason.COMPLETED
-        )
         ended = event.AttemptEnd(attempt.attempt, reason, at)
+        self._report_later(attempt, delay_ms, ended=(ended,))
+
+    def _report_later(
+        self,
+        attempt: job.Attempt,
+        delay_ms: int,
+        *,
+        started: tuple[event.AttemptStart, ...] = (),
+        ended: tuple[event.AttemptEnd, ...] = (),
+        usage: tuple[event.AttemptUsage, ...] = (),
+    ) -> None:
+        at = self._now + delay_ms
         self._later(
             delay_ms,
-            event.ReportReceived(at, attempt.session, ended=(ended,)),
+            event.ReportReceived(at, attempt.session, started, ended, usage),
         )
 
     def _later(self, delay_ms: int, occurred: event.Event) -> None:
@@ -172,14 +204,24 @@
         for effected in effects:
             if isinstance(effected, effect.ReportJobEnd):
                 self._count_end(effected.job)
+            elif isinstance(effected, effect.StartAttempt):
+                self._start(effected.attempt)
+            elif isinstance(effected, effect.StopAttempt):
+                self._end_later(
+                    effected.attempt, START_MS, job.EndReason.STOPPED
+                )
         return effects
 
     def _count_end(self, name: identity.JobId) -> None:
         record = self.tables.jobs[name]
         arrival = self._labels.get(name)
-        if arrival and record.state is job.JobState.COMPLETED:
-            count = len(record.specification.tasks)
+        if arrival is None:
+            return
+        count = len(record.specification.tasks)
+        if record.state is job.JobState.COMPLETED:
             self.seen.completed[arrival.label] += count
+        elif record.state is job.JobState.CANCELLED:
+            self.seen.cancelled[arrival.label] += count
 
 
 def _batch_of(arrival: Arrival) -> int:
--- a/mulberrywalk/tools/report.py
+++ b/mulberrywalk/tools/report.py
@@ -26,6 +26,8 @@
     submitted: int
     refused: int
     completed: int
+    cancelled: int
+    retried: int
     wait_p50: float
     wait_p99: float
     wait_max: float
@@ -70,6 +72,8 @@
         seen.submitted[label],
         seen.refused[label],
         seen.completed[label],
+        seen.cancelled[label],
+        seen.retried[label],
         counted.get_value_at_percentile(_MEDIAN),
         counted.get_value_at_percentile(_TAIL),
         counted.get_max_value(),
