Place a requeued task with the memory that it was seen to use

Change: a task keeps the most memory that an ended attempt held beyond its declaration, and is placed with it. Processor time can be throttled and is not kept. Where no target is large enough for it, the task is set aside with that reason instead of being stopped for ever. Test: test_requeued_task_is_placed_with_the_memory_it_was_seen_to_use.

--- a/mulberrywalk/core/dispatch.py
+++ b/mulberrywalk/core/dispatch.py
@@ -137,10 +137,9 @@
     tables: state.State, task: job.Task, specification: job.Specification
 ) -> fleet.TargetLoad | None:
     """Return the target for one task, or None when it fits on none."""
-    needs = specification.tasks[task.number]
-    demand = needs.demand()
+    demand = tables.demand(task)
     if tables.fleet.is_blocked(demand):
-        return gang.backfill(tables, needs)
+        return gang.backfill(tables, task)
     policy = placement.POLICIES[specification.kind]
     siblings: tuple[fleet.TargetLoad, ...] = ()
     if specification.kind is job.Kind.SERVICE:
@@ -149,7 +148,7 @@
     load = policy.choose(tables.fleet, request)
     if load is None:
         tables.fleet.block(demand)
-        return gang.backfill(tables, needs)
+        return gang.backfill(tables, task)
     return load
 
 
--- a/mulberrywalk/core/gang.py
+++ b/mulberrywalk/core/gang.py
@@ -57,16 +57,15 @@
     return True
 
 
-def backfill(
-    tables: state.State, needs: job.TaskSpecification
-) -> fleet.TargetLoad | None:
+def backfill(tables: state.State, task: job.Task) -> fleet.TargetLoad | None:
     """Return a kept target on which a task ends before the gang starts."""
     reservation = tables.reservation
     if reservation is None:
         return None
-    if tables.time + needs.estimate_ms > reservation.starts_at:
+    estimate_ms = tables.task_specification(task).estimate_ms
+    if tables.time + estimate_ms > reservation.starts_at:
         return None
-    demand = needs.demand()
+    demand = tables.demand(task)
     loads = (tables.fleet.loads[name] for name in reservation.targets)
     return next(
         (
@@ -104,7 +103,7 @@
     chosen: list[fleet.TargetLoad] = []
     taken: list[resource.Resources] = []
     for task in tasks:
-        demand = tables.task_specification(task).demand()
+        demand = tables.demand(task)
         load = policy.choose(tables.fleet, placement.Request(demand))
         if load is None:
             break
--- a/mulberrywalk/core/job.py
+++ b/mulberrywalk/core/job.py
@@ -168,7 +168,8 @@
     """One task of a job. Times are milliseconds since 1970, zero for none.
 
     not_before delays a retry; failures counts those that the retry limit
-    and the budget of the team apply to.
+    and the budget of the team apply to. used_bytes is the most memory that
+    an ended attempt held beyond what was declared.
     """
 
     task: identity.TaskId
@@ -187,6 +188,7 @@
     history: tuple[AttemptRecord, ...] = ()
     answer: str = ''
     checkpoint: str = ''
+    used_bytes: int = 0
 
 
 class Job(msgspec.Struct, frozen=True, gc=False):
--- a/mulberrywalk/core/lifecycle.py
+++ b/mulberrywalk/core/lifecycle.py
@@ -56,7 +56,7 @@
     kind = tables.specification(task).kind
     if kind is job.Kind.GANG and task.number and not task.attempts:
         return
-    demand = tables.task_specification(task).demand()
+    demand = tables.demand(task)
     if tables.fleet.could_fit(demand):
         tables.waiting.add(key_of(tables, task), position_of(task))
     else:
@@ -84,7 +84,7 @@
         task=task.task,
         session=session,
         target=load.target,
-        held=tables.task_specification(task).demand(),
+        held=tables.demand(task),
         placed_at=tables.time,
     )
     tables.tasks[task.task] = msgspec.structs.replace(
@@ -228,9 +228,23 @@
         checkpoint=ended.checkpoint or task.checkpoint,
         first_started_at=started_at,
         history=(*task.history, record)[-_HISTORY_KEPT:],
+        used_bytes=_used_bytes(tables, task, attempt),
     )
 
 
+def _used_bytes(
+    tables: state.State, task: job.Task, attempt: job.Attempt
+) -> int:
+    """Return the memory to place the task with, zero for what it declares.
+
+    Processor time can be throttled, so only memory is remembered.
+    """
+    held = attempt.held.memory_bytes
+    if held <= tables.task_specification(task).memory_bytes:
+        return task.used_bytes
+    return max(task.used_bytes, held)
+
+
 def _limit_answer(
     tables: state.State, attempt: job.Attempt, ended: event.AttemptEnd
 ) -> event.AttemptEnd:
--- a/mulberrywalk/core/preemption.py
+++ b/mulberrywalk/core/preemption.py
@@ -53,7 +53,7 @@
     task: job.Task,
 ) -> job.Attempt | None:
     """Return the attempt to stop, or None when there is none to take."""
-    demand = tables.task_specification(task).demand()
+    demand = tables.demand(task)
     kept_for = None
     if gang.is_whole(tables, task):
         kept_for = task.job
--- a/mulberrywalk/core/reducer_test.py
+++ b/mulberrywalk/core/reducer_test.py
@@ -474,6 +474,20 @@
     assert stopped[0].attempt.attempt == low.attempt
 
 
+def test_requeued_task_is_placed_with_the_memory_it_was_seen_to_use():
+    cell = Cell(targets=1)
+    accepted = cell.submit(specify(1))
+    cell.dispatch()
+    attempt = cell.tables.attempts[identity.AttemptId('j2.0/1')]
+    used = event.AttemptUsage(attempt.attempt, 1000, 3000)
+    cell.apply(event.ReportReceived, attempt.session, usage=(used,))
+    cell.report(attempt, job.EndReason.STOPPED)
+    cell.dispatch()
+    again = cell.tables.attempts[identity.AttemptId('j2.0/2')]
+    assert again.held.memory_bytes == 3000
+    assert cell.task(accepted.job).used_bytes == 3000
+
+
 def test_service_spreads_over_data_centres():
     cell = Cell(targets=4)
     cell.submit(specify(1, job.Kind.SERVICE, count=4))
--- a/mulberrywalk/core/state.py
+++ b/mulberrywalk/core/state.py
@@ -134,6 +134,13 @@
         """Return what a task needs."""
         return self.specification(task).tasks[task.number]
 
+    def demand(self, task: job.Task) -> resource.Resources:
+        """Return what a task is placed with: declared, or seen in use."""
+        declared = self.task_specification(task).demand()
+        if task.used_bytes <= declared.memory_bytes:
+            return declared
+        return msgspec.structs.replace(declared, memory_bytes=task.used_bytes)
+
     def next_sequence(self) -> int:
         """Return a number that was not used before."""
         self.sequence += 1
--- a/mulberrywalk/replica/view.py
+++ b/mulberrywalk/replica/view.py
@@ -19,6 +19,8 @@
     share,
     state,
 )
+from ..transport import wire
+from . import status
 
 
 def show_job(tables: state.State, record: job.Job) -> dict[str, Any]:
@@ -99,7 +101,7 @@
 ) -> dict[str, Any] | None:
     if task.state is not job.TaskState.WAITING:
         return None
-    demand = tables.task_specification(task).demand()
+    demand = tables.demand(task)
     ruled_out = _count_ruled_out(tables, demand)
     return {
         'reason': _waiting_reason(tables, task),
@@ -181,8 +183,14 @@
     return shown
 
 
-def show_members(running: node.Node) -> dict[str, Any]:
-    """Return the replicas as the leader sees them."""
+def show_members(
+    running: node.Node,
+    statuses: status.Statuses,
+) -> dict[str, Any]:
+    """Return the replicas as the leader sees them.
+
+    The cost is missing for a replica that has not told it lately.
+    """
     return {
         'leader': running.leader,
         'term': running.term,
@@ -195,12 +203,20 @@
                 'voter': member.voter,
                 'match_index': _match_index(running, member),
                 'silent_ms': _silent_ms(running, member),
+                'cost': _cost(statuses.find(member.identity)),
             }
             for member in running.membership.members
         ],
     }
 
 
+def _cost(told: wire.Status | None) -> dict[str, Any] | None:
+    if told is None:
+        return None
+    shown: dict[str, Any] = msgspec.to_builtins(told.cost)
+    return shown
+
+
 def _match_index(running: node.Node, member: message.Member) -> int:
     progress = running.progress.get(member.identity)
     return progress.match_index if progress else running.synced_index
