Show what each process consumes, and the version that followers apply

Change: each process counts its processor time, memory and the bytes of its messages; entries tell them with their pulse, replicas with their replies to batches; GET /v1/members shows them, and reach lists the followers' versions. The load tool reads them before and after a run and reports milliseconds a task start, memory and bytes a second for each process. Ruled out: reading the tables of the operating system in the load tool, which would have to run on the same instance.

--- a/mulberrywalk/entry/program.py
+++ b/mulberrywalk/entry/program.py
@@ -12,7 +12,7 @@
 from hypercorn import asyncio as hypercorn_server
 from hypercorn import config as hypercorn_config
 
-from ..telemetry import journal, metric, setting
+from ..telemetry import cost, journal, metric, setting
 from . import caller, connection, protocol, upstream
 
 _EXIT_ADDRESS = 3
@@ -92,7 +92,7 @@
     origin = journal.Origin(settings.name, settings.data_centre)
     lines = journal.Journal(origin)
     metrics = metric.connect(settings.statsd, f'mulberrywalk.{settings.name}')
-    leader = upstream.Upstream(settings.replicas, lines)
+    leader = upstream.Upstream(settings.replicas, lines, cost.Meter())
     targets = connection.Connections(leader, lines)
     interface = caller.Interface(leader, targets, lines, metrics)
     stop = anyio.Event()
--- a/mulberrywalk/entry/upstream.py
+++ b/mulberrywalk/entry/upstream.py
@@ -12,7 +12,7 @@
 import anyio
 
 from ..core import configuration
-from ..telemetry import clock, journal
+from ..telemetry import clock, cost, journal
 from ..transport import channel, wire
 
 # An entry that could not prove for this long that its configuration is
@@ -55,13 +55,17 @@
     """Keeps one stream to the leader, wherever it is."""
 
     def __init__(
-        self, addresses: tuple[str, ...], lines: journal.Journal
+        self,
+        addresses: tuple[str, ...],
+        lines: journal.Journal,
+        meter: cost.Meter,
     ) -> None:
         """Prepare; run dials the replicas in turn."""
         self.configuration: configuration.Configuration | None = None
         self.hooks: Hooks | None = None
         self.addresses = list(addresses)
         self._journal = lines
+        self._meter = meter
         self._calls: dict[int, PendingCall] = {}
         self._tickets = itertools.count(1)
         self._outbox: channel.Outbox[wire.FromEntry] = channel.Outbox()
@@ -126,7 +130,7 @@
     async def _serve_link(self, address: str) -> None:
         async with channel.dial(address) as dialled:
             stream = channel.open_stream(
-                dialled, channel.LINK, wire.ToEntryBatch
+                dialled, channel.LINK, wire.ToEntryBatch, self._meter
             )
             self._outbox = channel.Outbox()
             self._is_linked = True
@@ -152,7 +156,8 @@
     def _pulse(self) -> wire.EntryPulse:
         current = self.configuration
         version = current.version if current else 0
-        return wire.EntryPulse(version, clock.monotonic_ms())
+        now = clock.monotonic_ms()
+        return wire.EntryPulse(version, now, self._meter.read())
 
     def _batch(
         self, messages: tuple[wire.FromEntry, ...]
--- a/mulberrywalk/replica/leader.py
+++ b/mulberrywalk/replica/leader.py
@@ -13,7 +13,7 @@
 from ..core import effect, event, identity, outcome
 from ..telemetry import clock, journal, metric
 from ..transport import wire
-from . import delivery, engine, lease, link, request
+from . import delivery, engine, lease, link, request, status
 
 _ROUND_S = 0.1
 _DISPATCH_MS = 250
@@ -37,9 +37,13 @@
         lines: journal.Journal,
         metrics: metric.Metrics,
         policy: Policy,
+        statuses: status.Statuses,
     ) -> None:
         """Prepare; nothing is done before this replica leads."""
-        self.links = link.Links(running, lines, self._receive, self._open)
+        self.links = link.Links(
+            running, lines, statuses.meter, self._receive, self._open
+        )
+        self._statuses = statuses
         self._engine = running
         self._journal = lines
         self._metrics = metrics
@@ -98,7 +102,11 @@
             self._engine, self.links, self._leases
         )
         self._requests = request.Requests(
-            self._engine, self.links, self._leases, self._metrics
+            self._engine,
+            self.links,
+            self._leases,
+            self._metrics,
+            self._statuses,
         )
         self._effects: MappingProxyType[Any, Callable[..., None]] = (
             MappingProxyType(
@@ -194,6 +202,7 @@
         else:
             origin.version = received.version
             origin.pulse_sent_at = received.sent_at
+            origin.cost = received.cost
 
     def _renew(self, origin: link.Link, received: wire.Renewals) -> None:
         now = clock.monotonic_ms()
--- a/mulberrywalk/replica/link.py
+++ b/mulberrywalk/replica/link.py
@@ -8,7 +8,7 @@
 
 import anyio
 
-from ..telemetry import journal
+from ..telemetry import cost, journal
 from ..transport import channel, wire
 from . import engine
 
@@ -26,6 +26,7 @@
     )
     version: int = 0
     pulse_sent_at: int = 0
+    cost: cost.Cost = dataclasses.field(default_factory=cost.Cost)
 
     def send(self, message: wire.ToEntry) -> None:
         """Queue a message for the entry."""
@@ -39,6 +40,7 @@
         self,
         running: engine.Engine,
         lines: journal.Journal,
+        meter: cost.Meter,
         received: Callable[[Link, wire.FromEntry], None],
         opened: Callable[[Link], None],
     ) -> None:
@@ -46,6 +48,7 @@
         self.open: dict[str, Link] = {}
         self._engine = running
         self._journal = lines
+        self._meter = meter
         self._received = received
         self._opened = opened
 
@@ -62,7 +65,9 @@
 
     async def accept(self, context: Any) -> None:
         """Serve an entry until either end closes or falls silent."""
-        stream: FromStream = channel.Stream(context, wire.FromEntryBatch)
+        stream: FromStream = channel.Stream(
+            context, wire.FromEntryBatch, self._meter
+        )
         try:
             first = await stream.receive()
         except ConnectionError:
--- a/mulberrywalk/replica/peer.py
+++ b/mulberrywalk/replica/peer.py
@@ -5,12 +5,13 @@
 from typing import Any
 
 import anyio
+import msgspec
 from anyio.abc import TaskGroup
 
 from ..consensus import message, node
 from ..telemetry import journal
 from ..transport import channel, wire
-from . import engine
+from . import engine, status
 
 _REDIAL_S = 0.1
 # Appends beyond this are dropped and sent again by the consensus.
@@ -24,11 +25,16 @@
         self,
         running: engine.Engine,
         lines: journal.Journal,
+        statuses: status.Statuses,
         group: TaskGroup,
     ) -> None:
-        """Prepare; streams are dialled as messages are first sent."""
+        """Prepare; streams are dialled as messages are first sent.
+
+        statuses takes what the other replicas tell.
+        """
         self._engine = running
         self._journal = lines
+        self._statuses = statuses
         self._group = group
         self._outboxes: dict[str, channel.Outbox[message.Message]] = {}
         self._scopes: dict[str, anyio.CancelScope] = {}
@@ -41,7 +47,7 @@
         key = f'{receiver}@{member.address}'
         if key not in self._outboxes:
             self._outboxes[key] = channel.Outbox(_OUTBOX_LIMIT)
-            self._group.start_soon(self._serve_outbox, key, member.address)
+            self._group.start_soon(self._serve_outbox, key, member)
         self._outboxes[key].put(body)
 
     def forget_removed(self) -> None:
@@ -60,36 +66,45 @@
     async def accept(self, context: Any) -> None:
         """Serve the stream of another replica until it falls silent."""
         stream: channel.Stream[wire.PeerBatch, wire.PeerBatch]
-        stream = channel.Stream(context, wire.PeerBatch)
+        stream = channel.Stream(context, wire.PeerBatch, self._statuses.meter)
         try:
             while True:
                 batch = await stream.receive()
                 self._journal.clock.witness(batch.clock)
                 for body in batch.messages:
                     self._engine.enter(node.Received(batch.sender, body))
-                await stream.send(self._batch(()))
+                await stream.send(self._reply())
         except ConnectionError:
             return
 
-    async def _serve_outbox(self, key: str, address: str) -> None:
+    async def _serve_outbox(self, key: str, member: message.Member) -> None:
         with anyio.CancelScope() as scope:
             self._scopes[key] = scope
             while True:
                 try:
-                    await self._feed(self._outboxes[key], address)
+                    await self._feed(self._outboxes[key], member)
                 except ConnectionError:
+                    self._statuses.take(member.identity, None)
                     await anyio.sleep(_REDIAL_S)
 
     async def _feed(
-        self, outbox: channel.Outbox[message.Message], address: str
+        self, outbox: channel.Outbox[message.Message], member: message.Member
     ) -> None:
-        async with channel.dial(address) as dialled:
-            stream = channel.open_stream(dialled, channel.PEER, wire.PeerBatch)
+        async with channel.dial(member.address) as dialled:
+            stream = channel.open_stream(
+                dialled, channel.PEER, wire.PeerBatch, self._statuses.meter
+            )
             while True:
                 taken = await outbox.take(channel.PULSE_S)
                 await stream.send(self._batch(taken))
                 reply = await stream.receive()
                 self._journal.clock.witness(reply.clock)
+                self._statuses.take(member.identity, reply.status)
+
+    def _reply(self) -> wire.PeerBatch:
+        return msgspec.structs.replace(
+            self._batch(()), status=self._statuses.own()
+        )
 
     def _batch(self, messages: tuple[message.Message, ...]) -> wire.PeerBatch:
         return wire.PeerBatch(
--- a/mulberrywalk/replica/program.py
+++ b/mulberrywalk/replica/program.py
@@ -15,9 +15,9 @@
 
 from ..consensus import message, node
 from ..storage import disk as storage
-from ..telemetry import journal, metric, setting
+from ..telemetry import cost, journal, metric, setting
 from ..transport import channel, wire
-from . import engine, leader, peer
+from . import engine, leader, peer, status
 
 _EXIT_STORAGE = 3
 _HANDOVER_S = 4.0
@@ -157,25 +157,13 @@
         snapshot_entries=settings.snapshot_entries,
     )
     metrics = metric.connect(settings.statsd, f'mulberrywalk.{settings.name}')
-    leading = leader.Leader(running, lines, metrics, settings.policy)
+    statuses = status.Statuses(running, cost.Meter())
+    leading = leader.Leader(running, lines, metrics, settings.policy, statuses)
     server = channel.Server(settings.listen)
     async with anyio.create_task_group() as group:
-        peers = peer.Peers(running, lines, group)
+        peers = peer.Peers(running, lines, statuses, group)
         running.callbacks = _callbacks(peers, leading)
-        streams = {
-            channel.PEER: peers.accept,
-            channel.LINK: leading.links.accept,
-        }
-        calls = _Calls(leading, lines)
-        await server.start(
-            MappingProxyType(streams),
-            MappingProxyType(
-                {
-                    channel.JOIN: calls.join,
-                    channel.TIMELINE: calls.show_timeline,
-                }
-            ),
-        )
+        await _start_server(server, peers, leading, lines)
         lines.record('replica running', loaded.identity.identity)
         group.start_soon(running.run)
         group.start_soon(leading.run)
@@ -185,6 +173,25 @@
     disk.close()
 
 
+async def _start_server(
+    server: channel.Server,
+    peers: peer.Peers,
+    leading: leader.Leader,
+    lines: journal.Journal,
+) -> None:
+    streams = {channel.PEER: peers.accept, channel.LINK: leading.links.accept}
+    calls = _Calls(leading, lines)
+    await server.start(
+        MappingProxyType(streams),
+        MappingProxyType(
+            {
+                channel.JOIN: calls.join,
+                channel.TIMELINE: calls.show_timeline,
+            }
+        ),
+    )
+
+
 def _callbacks(peers: peer.Peers, leading: leader.Leader) -> engine.Callbacks:
     def changed() -> None:
         peers.forget_removed()
--- a/mulberrywalk/replica/request.py
+++ b/mulberrywalk/replica/request.py
@@ -6,10 +6,12 @@
 from types import MappingProxyType
 from typing import Any
 
+import msgspec
+
 from ..core import event, identity, outcome
 from ..telemetry import clock, metric
 from ..transport import codec, wire
-from . import engine, lease, link, view
+from . import engine, lease, link, status, view
 
 _BACKLOG_LIMIT = 4000
 _RETRY_AFTER_MS = 1000
@@ -26,8 +28,10 @@
         links: link.Links,
         leases: lease.Leases,
         metrics: metric.Metrics,
+        statuses: status.Statuses,
     ) -> None:
         """Start without callers that wait."""
+        self._statuses = statuses
         self._engine = running
         self._links = links
         self._leases = leases
@@ -135,7 +139,15 @@
         current = self._engine.tables.configuration
         shown = view.show_configuration(current)
         reach = {one.process: one.version for one in self._links.open.values()}
-        reach[self._engine.process()] = current.version
+        members = self._engine.node.membership.members
+        told = ((one, self._statuses.find(one.identity)) for one in members)
+        reach.update(
+            {
+                member.identity: applied.version
+                for member, applied in told
+                if applied is not None
+            }
+        )
         _reply(
             origin,
             ticket,
@@ -146,9 +158,13 @@
         self, origin: link.Link, ticket: int, request: wire.GetMembers
     ) -> None:
         """Answer with the replicas and the entries that are linked."""
-        shown = view.show_members(self._engine.node)
+        shown = view.show_members(self._engine.node, self._statuses)
         entries = [
-            {'process': one.process, 'data_centre': one.data_centre}
+            {
+                'process': one.process,
+                'data_centre': one.data_centre,
+                'cost': msgspec.to_builtins(one.cost),
+            }
             for _, one in sorted(self._links.open.items())
         ]
         _reply(
--- a/mulberrywalk/tools/load.py
+++ b/mulberrywalk/tools/load.py
@@ -15,6 +15,8 @@
 from rich.console import Console
 from rich.table import Table
 
+from ..core import job
+from ..telemetry import cost
 from . import baseline, mix, replay, report
 
 _ANSWER_S = 60.0
@@ -79,9 +81,31 @@
     """
     planned = _load(path, faults)
     addresses = tuple(entries.split(','))
+    began_at = time.monotonic()
+    before = _read_costs(addresses)
     seen = anyio.run(_submit_all, planned, addresses, seed)
-    runs = (report.summarize('processes', seen),)
-    _finish(report.Report(_command(), seed, runs), folder)
+    seconds = time.monotonic() - began_at
+    control = report.compare_costs(
+        before, _read_costs(addresses), seen.starts, seconds
+    )
+    run = msgspec.structs.replace(
+        report.summarize('processes', seen), control=control
+    )
+    _finish(report.Report(_command(), seed, (run,)), folder)
+
+
+def _read_costs(addresses: tuple[str, ...]) -> report.Costs:
+    """Return what each process has consumed, as the leader was told."""
+    url = f'http://{addresses[0]}/v1/members'
+    shown = httpx.get(url, timeout=_ANSWER_S).json()
+    rows = [*shown.get('replicas', ()), *shown.get('entries', ())]
+    return {
+        row.get('process') or row['identity']: msgspec.convert(
+            row['cost'], cost.Cost
+        )
+        for row in rows
+        if row['cost']
+    }
 
 
 def _load(path: pathlib.Path, faults: pathlib.Path | None) -> mix.Mix:
@@ -145,6 +169,14 @@
     if answered.status_code != _OK:
         seen.refused[arrival.label] += count
         return
+    ended = answered.json()
+    if not ended.get('ended_at'):
+        return
+    if ended['state'] == job.JobState.CANCELLED.value:
+        seen.cancelled[arrival.label] += count
+        return
+    attempts = sum(task['attempts'] for task in ended['tasks'])
+    seen.retried[arrival.label] += attempts - count
     answer_ms = round((time.monotonic() - due_at) * _MS_PER_S)
     seen.waits[arrival.label].append(max(0, answer_ms - arrival.run_ms))
     seen.completed[arrival.label] += count
@@ -161,7 +193,13 @@
             cells = msgspec.structs.astuple(work)
             texts = [str(cell) for cell in cells]
             table.add_row(run.name, *texts, f'{run.packed_percent} %')
-    Console(width=_WIDTH).print(table)
+    console = Console(width=_WIDTH)
+    console.print(table)
+    costs = Table('process', 'ms', 'ms per start', 'MB', 'control bytes/s')
+    for spent in made.runs[0].control:
+        costs.add_row(*map(str, msgspec.structs.astuple(spent)))
+    if costs.rows:
+        console.print(costs)
 
 
 def _command() -> str:
--- a/mulberrywalk/tools/report.py
+++ b/mulberrywalk/tools/report.py
@@ -9,14 +9,18 @@
 from hdrh import histogram
 from plotly import graph_objects, io
 
+from ..telemetry import cost
 from . import replay
 
+Costs = dict[str, cost.Cost]
+
 _LONGEST_MS = 86_400_000
 _DIGITS = 3
 _PERCENT = 100
 _PPM_PER_PERCENT = 10_000
 _MEDIAN = 50
 _TAIL = 99
+_BYTES_PER_MB = 1_000_000
 
 
 class WorkReport(msgspec.Struct, frozen=True):
@@ -33,6 +37,16 @@
     wait_max: float
 
 
+class ControlCost(msgspec.Struct, frozen=True):
+    """What one process of the system has spent on control during a run."""
+
+    process: str
+    processor_ms: int
+    processor_ms_per_start: float
+    memory_mb: float
+    bytes_per_s: float
+
+
 class RunReport(msgspec.Struct, frozen=True):
     """One run; packed_percent is the used part while work waited."""
 
@@ -40,6 +54,7 @@
     works: tuple[WorkReport, ...]
     packed_percent: float
     starts: int
+    control: tuple[ControlCost, ...] = ()
 
 
 class Report(msgspec.Struct, frozen=True):
@@ -80,6 +95,36 @@
     )
 
 
+def compare_costs(
+    before: Costs, after: Costs, starts: int, seconds: float
+) -> tuple[ControlCost, ...]:
+    """Return what each process has spent between two readings.
+
+    Processes that are missing from either, or that have begun anew in
+    between, are left out.
+    """
+    return tuple(
+        _compare(name, before[name], after[name], starts, seconds)
+        for name in sorted(before.keys() & after.keys())
+        if after[name].processor_ms >= before[name].processor_ms
+    )
+
+
+def _compare(
+    name: str, before: cost.Cost, after: cost.Cost, starts: int, seconds: float
+) -> ControlCost:
+    spent_ms = after.processor_ms - before.processor_ms
+    sent = after.sent_bytes - before.sent_bytes
+    received = after.received_bytes - before.received_bytes
+    return ControlCost(
+        name,
+        spent_ms,
+        round(spent_ms / max(1, starts), _DIGITS),
+        round(after.memory_bytes / _BYTES_PER_MB, 1),
+        round((sent + received) / seconds, 1),
+    )
+
+
 def write(report: Report, folder: pathlib.Path) -> None:
     """Write report.json and report.html into a folder."""
     folder.mkdir(parents=True, exist_ok=True)
--- a/mulberrywalk/transport/channel.py
+++ b/mulberrywalk/transport/channel.py
@@ -12,6 +12,8 @@
 import grpc
 import msgspec
 
+from ..telemetry import cost
+
 SILENCE_S = 1.5
 PULSE_S = 0.3
 MESSAGE_BYTES = 268_435_456
@@ -76,15 +78,19 @@
 class Stream(Generic[Sent, Got]):
     """One open gRPC stream, either end of it."""
 
-    def __init__(self, raw: Any, received: type[Got]) -> None:
+    def __init__(
+        self, raw: Any, received: type[Got], meter: cost.Meter
+    ) -> None:
         """Wrap a gRPC call or servicer context with read and write."""
         self._raw = raw
+        self._meter = meter
         self._decoder = msgspec.msgpack.Decoder(received)
         self._encoder = msgspec.msgpack.Encoder()
 
     async def send(self, batch: Sent) -> None:
         """Send one batch; raises ConnectionError when it cannot leave."""
         encoded = self._encoder.encode(batch)
+        self._meter.count_sent(len(encoded))
         with anyio.move_on_after(SILENCE_S):
             try:
                 await self._raw.write(encoded)
@@ -102,6 +108,7 @@
                 raise ConnectionError(str(error)) from error
             if encoded is grpc.aio.EOF:
                 raise ConnectionError('the other end has closed the stream')
+            self._meter.count_received(len(encoded))
             return self._decoder.decode(encoded)
         raise ConnectionError(f'nothing heard for {SILENCE_S} s')
 
@@ -112,10 +119,14 @@
 
 
 def open_stream(
-    channel: grpc.aio.Channel, method: str, received: type[Got]
+    channel: grpc.aio.Channel,
+    method: str,
+    received: type[Got],
+    meter: cost.Meter,
 ) -> Stream[Any, Got]:
     """Return a stream of a replica's method."""
-    return Stream(channel.stream_stream(f'/{SERVICE}/{method}')(), received)
+    call = channel.stream_stream(f'/{SERVICE}/{method}')()
+    return Stream(call, received, meter)
 
 
 async def ask(address: str, method: str, encoded: bytes) -> bytes:
--- a/mulberrywalk/transport/wire.py
+++ b/mulberrywalk/transport/wire.py
@@ -8,7 +8,7 @@
 
 from ..consensus import message
 from ..core import configuration, event, identity, job
-from ..telemetry import journal
+from ..telemetry import cost, journal
 
 
 class Submit(msgspec.Struct, frozen=True, tag=True):
@@ -119,6 +119,7 @@
 
     version: int
     sent_at: int
+    cost: cost.Cost = cost.Cost()
 
 
 FromEntry: TypeAlias = Call | Renewals | Report | Departure | EntryPulse
@@ -231,12 +232,23 @@
     messages: tuple[ToEntry, ...]
 
 
+class Status(msgspec.Struct, frozen=True):
+    """The configuration that a replica has applied, and what it consumes."""
+
+    version: int
+    cost: cost.Cost
+
+
 class PeerBatch(msgspec.Struct, frozen=True):
-    """Consensus messages from one replica; empty as a heartbeat."""
+    """Consensus messages from one replica; empty as a heartbeat.
+
+    status comes with the replies to batches.
+    """
 
     sender: message.ReplicaId
     clock: int
     messages: tuple[message.Message, ...]
+    status: Status | None = None
 
 
 class JoinRequest(msgspec.Struct, frozen=True):
