Run floods over processes, and test the faults of the load tool

Cause: floods had been replayed over the reducer only. Tests of mixes: black hole, cancel wave, seeds, costs. Conclusion: an open loop may not share a bounded pool with the flood.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BIN := .venv/bin
 export PYTHONPATH := .
 
-.PHONY: setup demo test lint format bench kills pairs soak clean
+.PHONY: setup demo test lint format bench kills pairs floods soak clean
 
 setup: .venv/ready
 
@@ -37,6 +37,9 @@
 pairs: setup
 	$(BIN)/python -m tests.pairs
 
+floods: setup
+	$(BIN)/python -m tests.floods
+
 soak: setup
 	MULBERRYWALK_SOAK=1 $(BIN)/python -m pytest mulberrywalk/consensus
 
--- a/mulberrywalk/tools/load.py
+++ b/mulberrywalk/tools/load.py
@@ -23,7 +23,6 @@
 _MS_PER_S = 1000
 _SETTLE_MS = 60_000
 _OK = 200
-_CONNECTIONS = 200
 _WIDTH = 120
 _REPORT = pathlib.Path('run/load')
 _FAMILIES = ('submitted', 'refused', 'completed', 'cancelled', 'retried')
@@ -73,6 +72,9 @@
     entries: Annotated[str, typer.Option(envvar='MULBERRYWALK_ENTRIES')],
     seed: int = 1,
     faults: FaultsFile = None,
+    is_calm: Annotated[
+        bool, typer.Option('--calm', help='Leave the flood out.')
+    ] = False,
     folder: Folder = _REPORT,
 ) -> None:
     """Submit a mix to running entries, open loop, and time the answers.
@@ -80,6 +82,8 @@
     Arrivals do not wait for answers; waits count from the intended start.
     """
     planned = _load(path, faults)
+    if is_calm:
+        planned = msgspec.structs.replace(planned, flood=None)
     addresses = tuple(entries.split(','))
     began_at = time.monotonic()
     before = _read_costs(addresses)
@@ -138,7 +142,9 @@
 ) -> replay.Seen:
     seen = replay.Seen()
     turns = itertools.cycle(addresses)
-    limits = httpx.Limits(max_connections=_CONNECTIONS)
+    # No bound: a request that waited for a connection of a flood's would
+    # be counted as waiting for the cell.
+    limits = httpx.Limits(max_connections=None)
     began_at = time.monotonic()
     async with (
         httpx.AsyncClient(timeout=_ANSWER_S, limits=limits) as client,
--- /dev/null
+++ b/mulberrywalk/tools/mix_test.py
@@ -0,0 +1,69 @@
+"""Mixes, their faults, and what a replay counts of them."""
+
+import pathlib
+
+import msgspec
+
+from ..telemetry import cost
+from . import mix, replay, report
+
+PLANNED = mix.Mix(
+    name='tiny',
+    targets=4,
+    millicores=4000,
+    memory_mb=4096,
+    slots=4,
+    rack_size=2,
+    data_centres=2,
+    duration_ms=4000,
+    works=(
+        mix.Work(
+            label='sort',
+            kind='batch',
+            urgency='low',
+            team='night',
+            share=0.5,
+            millicores=(1000,),
+            memory_mb=(512,),
+            run_ms=400,
+        ),
+    ),
+)
+
+
+def run(faults):
+    planned = msgspec.structs.replace(PLANNED, faults=faults)
+    running = replay.Replay(planned.plan())
+    return running.run(mix.arrivals(planned, 1), until=60_000)
+
+
+def test_arrivals_are_a_function_of_the_seed():
+    assert mix.arrivals(PLANNED, 1) == mix.arrivals(PLANNED, 1)
+    assert mix.arrivals(PLANNED, 1) != mix.arrivals(PLANNED, 2)
+
+
+def test_black_hole_costs_retries_and_loses_nothing():
+    seen = run(mix.Faults(black_holes=1))
+    assert seen.retried['sort'] > 0
+    assert seen.completed['sort'] == seen.submitted['sort']
+
+
+def test_cancel_wave_ends_what_waits_or_runs():
+    wave = mix.CancelWave('sort', at_ms=2000, share=1)
+    seen = run(mix.Faults(cancel_waves=(wave,)))
+    assert seen.cancelled['sort'] > 0
+    ended = seen.completed['sort'] + seen.cancelled['sort']
+    assert ended == seen.submitted['sort']
+
+
+def test_faults_of_the_repository_can_be_read():
+    paths = sorted(pathlib.Path('mixes').glob('faults-*.json'))
+    assert len(paths) == 3
+    assert all(mix.load_faults(path) != mix.Faults() for path in paths)
+
+
+def test_costs_leave_out_processes_that_began_anew():
+    before = {'a': cost.Cost(100, 0, 10, 10), 'b': cost.Cost(900)}
+    after = {'a': cost.Cost(300, 2_000_000, 40, 30), 'b': cost.Cost(5)}
+    (spent,) = report.compare_costs(before, after, starts=100, seconds=10)
+    assert spent == report.ControlCost('a', 200, 2.0, 2.0, 5.0)
