--- a/mulberrywalk/entry/caller_test.py
+++ b/mulberrywalk/entry/caller_test.py
@@ -6,7 +6,7 @@
 import pytest
 from starlette import testclient
 
-from ..telemetry import journal, metric
+from ..telemetry import cost, journal, metric
 from . import answer, caller, connection, upstream
 
 JOB = MappingProxyType(
@@ -23,7 +23,8 @@
     """Answers every call with the same reply."""
 
     def __init__(self, reply, *, is_ready=True):
-        super().__init__(('a:1',), journal.Journal(journal.Origin('e', 'd')))
+        lines = journal.Journal(journal.Origin('e', 'd'))
+        super().__init__(('a:1',), lines, cost.Meter())
         self.reply = reply
         self.is_ready = is_ready
         self.asked = []
--- a/mulberrywalk/tools/mix_test.py
+++ b/mulberrywalk/tools/mix_test.py
@@ -65,5 +65,5 @@
 def test_costs_leave_out_processes_that_began_anew():
     before = {'a': cost.Cost(100, 0, 10, 10), 'b': cost.Cost(900)}
     after = {'a': cost.Cost(300, 2_000_000, 40, 30), 'b': cost.Cost(5)}
-    (spent,) = report.compare_costs(before, after, starts=100, seconds=10)
-    assert spent == report.ControlCost('a', 200, 2.0, 2.0, 5.0)
+    spent = report.compare_costs(before, after, starts=100, seconds=10)
+    assert spent == (report.ControlCost('a', 200, 2.0, 2.0, 5.0),)
