Blame a task for a lost target only if it ran there

With both entries gone all sessions ran out within 0.8 s, one after the other; the task was placed on the next silent target each time, counted five losses and was given up, although no target had ever confirmed its start. Ruled out: a lost event or a wrong lease (each session ended 4.3 s after its last renewal, in order); the failure limit (it counts failures, there were none). Change: a lost session counts against a task only if the task had started there. Tests: test_task_that_never_started_is_not_blamed_for_lost_targets failed before; a task that takes its targets down with it still fails in the end. Conclusion: the limit is for tasks that harm targets, not for cut connections.

--- a/mulberrywalk/core/job.py
+++ b/mulberrywalk/core/job.py
@@ -168,7 +168,8 @@
     """One task of a job. Times are milliseconds since 1970, zero for none.
 
     not_before delays a retry; failures counts those that the retry limit
-    and the budget of the team apply to. used_bytes is the most memory that
+    and the budget of the team apply to, losses the targets that were lost
+    while the task ran there. used_bytes is the most memory that
     an ended attempt held beyond what was declared.
     """
 
--- a/mulberrywalk/core/lifecycle.py
+++ b/mulberrywalk/core/lifecycle.py
@@ -145,7 +145,7 @@
     elif tables.jobs[task.job].is_cancelled:
         finish(tables, task, job.TaskState.CANCELLED)
     elif _may_run_again(specification, ended.reason):
-        _try_again(tables, task, ended.reason)
+        _try_again(tables, task, attempt, ended.reason)
     else:
         finish(tables, task, _final_state(ended.reason))
 
@@ -302,7 +302,10 @@
 
 
 def _try_again(
-    tables: state.State, task: job.Task, reason: job.EndReason
+    tables: state.State,
+    task: job.Task,
+    attempt: job.Attempt,
+    reason: job.EndReason,
 ) -> None:
     not_before = 0
     if reason in {job.EndReason.FAILED, job.EndReason.COMPLETED}:
@@ -310,7 +313,8 @@
         not_before = tables.time + retry.delay(
             tables, tables.specification(task).team, task.failures
         )
-    elif reason is job.EndReason.SESSION_LOST:
+    elif reason is job.EndReason.SESSION_LOST and attempt.started_at:
+        # What never started has not taken the target down.
         task = msgspec.structs.replace(task, losses=task.losses + 1)
     if retry.is_exhausted(tables, task):
         finish(tables, task, job.TaskState.FAILED)
--- a/mulberrywalk/core/reducer_test.py
+++ b/mulberrywalk/core/reducer_test.py
@@ -460,6 +460,31 @@
     assert stopped <= 6
 
 
+def lose_targets(cell, count, *, is_started):
+    for _ in range(count):
+        attempt = next(iter(cell.tables.attempts.values()))
+        if is_started:
+            cell.start(attempt)
+        cell.apply(event.SessionExpired, attempt.session)
+        cell.dispatch()
+
+
+def test_task_that_never_started_is_not_blamed_for_lost_targets():
+    cell = Cell(targets=8)
+    accepted = cell.submit(specify(1))
+    cell.dispatch()
+    lose_targets(cell, 7, is_started=False)
+    assert cell.task(accepted.job).state is job.TaskState.PLACED
+
+
+def test_task_that_takes_targets_down_with_it_fails_in_the_end():
+    cell = Cell(targets=8)
+    accepted = cell.submit(specify(1))
+    cell.dispatch()
+    lose_targets(cell, 5, is_started=True)
+    assert cell.task(accepted.job).state is job.TaskState.FAILED
+
+
 def test_overuse_throttles_then_requeues_the_least_urgent():
     cell = Cell(targets=1)
     cell.submit(specify(1, urgency=job.Urgency.CRITICAL))
