Close the headroom to a team far above its due share, however urgent

The critical flood could use three quarters of the headroom. Ruled out: the placement (under the low flood the same kinds did not move). Change: a team leaves the larger part of two: by its urgency, and by how far it is above its due share, all of it at twice the share. Conclusion: the headroom serves bursts of the urgent, not floods of them.

--- a/mulberrywalk/core/dispatch.py
+++ b/mulberrywalk/core/dispatch.py
@@ -34,7 +34,8 @@
     """When a queue is served; the smallest goes first.
 
     Queues of teams within their due share go by urgency, those of teams
-    above it by how far they are above.
+    above it by how far they are above. excess is the use above the due share
+    as a part of that share, in parts per million; it orders nothing.
     """
 
     is_above_floor: bool
@@ -43,6 +44,7 @@
     rank: int
     weighted_share: int
     team: str
+    excess: int
 
 
 def run(tables: state.State) -> None:
@@ -79,7 +81,8 @@
     weight = configuration.team_limits(document, key.team).weight
     used = share.of_team(tables, key.team)
     weighted = used * configuration.NORMAL_WEIGHT // weight
-    is_above_due = used >= fairness.due(weight)
+    due = fairness.due(weight)
+    is_above_due = used >= due
     return Turn(
         share.is_above_floor(tables, _URGENCIES[key.rank]),
         is_above_due,
@@ -87,6 +90,7 @@
         key.rank,
         weighted,
         key.team,
+        (used - due) * resource.PARTS_PER_MILLION // max(1, due),
     )
 
 
@@ -100,7 +104,7 @@
     if share.is_over_quota(tables, key.team):
         return False
     is_lent = turn.is_above_floor and turn.is_above_due
-    if is_lent and not _has_headroom(tables, key.rank):
+    if is_lent and not _has_headroom(tables, turn):
         return False
     positions = tables.waiting.heads(key, _LOOK_AHEAD)
     if any(_place(tables, position.task) for position in positions):
@@ -110,14 +114,17 @@
     return False
 
 
-def _has_headroom(tables: state.State, rank: int) -> bool:
+def _has_headroom(tables: state.State, turn: Turn) -> bool:
     """Return whether lent capacity may still be taken.
 
     The headroom is graded: the most urgent leave a part of it, the least
-    urgent all of it, so that urgent work finds room that others left.
+    urgent all of it, so that urgent work finds room that others left. A team
+    that uses twice its due share or more leaves all of it, however urgent.
     """
+    grade = resource.PARTS_PER_MILLION * (turn.rank + 1) // len(_URGENCIES)
+    part = min(resource.PARTS_PER_MILLION, max(grade, turn.excess))
     whole = tables.configuration.document.headroom
-    headroom = whole * (rank + 1) // len(_URGENCIES)
+    headroom = whole * part // resource.PARTS_PER_MILLION
     return share.of_all(tables) < resource.PARTS_PER_MILLION - headroom
 
 
