--- /dev/null
+++ b/mulberrywalk/core/cell_test.py
@@ -0,0 +1,73 @@
+"""A state and the clock that drives it, for tests of the decisions."""
+
+import itertools
+
+from . import event, identity, job, reducer, resource, state
+
+CAPACITY = resource.Resources(4000, 4000, 1, 3)
+
+
+def announce(number, nonce, ended=None):
+    return event.Announcement(
+        target=identity.TargetId(f't{number}'),
+        data_centre=identity.DataCentre(f'dc{number % 2}'),
+        rack=identity.Rack(f'r{number % 3}'),
+        capacity=CAPACITY,
+        nonce=nonce,
+        ended=ended,
+    )
+
+
+def specify(number, kind=job.Kind.BATCH, count=1, millicores=1000, **more):
+    memory = more.pop('memory', 1000)
+    needs = job.TaskSpecification(millicores, memory, estimate_ms=1000)
+    return job.Specification(
+        request_id=f'r{number}',
+        team=more.pop('team', 'a'),
+        kind=kind,
+        tasks=(needs,) * count,
+        **more,
+    )
+
+
+class Cell:
+    """A state and the clock that drives it."""
+
+    def __init__(self, targets=0):
+        self.tables = state.State()
+        self.now = 1_000_000
+        self.numbers = itertools.count(1)
+        for number in range(targets):
+            self.open_session(number)
+
+    def apply(self, kind, *fields, **named):
+        occurred = kind(self.now, *fields, **named)
+        return reducer.reduce(self.tables, occurred)[1]
+
+    def open_session(self, number, ended=None):
+        nonce = f'n{next(self.numbers)}'
+        effects = self.apply(
+            event.SessionOpened, announce(number, nonce, ended)
+        )
+        return effects[0].outcome.session
+
+    def submit(self, specification, digest='d'):
+        effects = self.apply(event.JobSubmitted, specification, digest)
+        return effects[0].outcome
+
+    def dispatch(self, milliseconds=0):
+        self.now += milliseconds
+        return self.apply(event.TimePassed)
+
+    def report(self, attempt, reason):
+        end = event.AttemptEnd(attempt.attempt, reason, self.now, 'answer')
+        return self.apply(event.ReportReceived, attempt.session, ended=(end,))
+
+    def start(self, attempt):
+        started = event.AttemptStart(attempt.attempt, self.now)
+        return self.apply(
+            event.ReportReceived, attempt.session, started=(started,)
+        )
+
+    def task(self, name, number=0):
+        return self.tables.tasks[job.task_id(name, number)]
--- /dev/null
+++ b/mulberrywalk/core/dispatch_test.py
@@ -0,0 +1,80 @@
+"""Which queue is served next, and what it may take."""
+
+import collections
+
+from . import cell_test, event, job
+
+
+def test_service_spreads_over_data_centres():
+    cell = cell_test.Cell(targets=4)
+    cell.submit(cell_test.specify(1, job.Kind.SERVICE, count=4))
+    cell.dispatch()
+    centres = collections.Counter(
+        cell.tables.targets[one.target].data_centre
+        for one in cell.tables.attempts.values()
+    )
+    assert set(centres.values()) == {2}
+
+
+def test_team_above_its_due_share_leaves_headroom():
+    cell = cell_test.Cell(targets=8)
+    cell.submit(cell_test.specify(1, job.Kind.SERVICE, team='steady'))
+    cell.dispatch()
+    cell.submit(cell_test.specify(2, count=60, team='flood'))
+    cell.dispatch()
+    assert len(cell.tables.attempts) == 23
+    urgent = cell.submit(cell_test.specify(3, job.Kind.REQUEST, team='counter'))
+    cell.dispatch()
+    assert cell.task(urgent.job).state is job.TaskState.PLACED
+
+
+def fill_but_for_headroom(urgent, count):
+    cell = cell_test.Cell(targets=8)
+    cell.submit(cell_test.specify(1, job.Kind.SERVICE, team='steady'))
+    cell.submit(cell_test.specify(2, count=count, **urgent))
+    cell.submit(
+        cell_test.specify(3, count=60, team='night', urgency=job.Urgency.LOW)
+    )
+    cell.dispatch()
+    assert len(cell.tables.attempts) == 23
+    cell.submit(cell_test.specify(4, count=8, **urgent))
+    cell.dispatch()
+    return cell
+
+
+def test_headroom_is_open_to_urgent_work_a_little_above_its_due_share():
+    urgent = {'team': 'counter', 'urgency': job.Urgency.CRITICAL}
+    cell = fill_but_for_headroom(urgent, count=9)
+    assert len(cell.tables.attempts) == 24
+
+
+def test_headroom_is_closed_to_a_team_far_above_its_due_share():
+    urgent = {'team': 'night', 'urgency': job.Urgency.CRITICAL}
+    cell = fill_but_for_headroom(urgent, count=4)
+    assert len(cell.tables.attempts) == 23
+
+
+def test_urgent_flood_does_not_starve_a_team_within_its_due_share():
+    cell = cell_test.Cell(targets=8)
+    flood = cell_test.specify(
+        1, count=60, team='flood', urgency=job.Urgency.CRITICAL
+    )
+    cell.submit(flood)
+    batch = cell.submit(
+        cell_test.specify(2, count=10, team='night', urgency=job.Urgency.LOW)
+    )
+    cell.dispatch()
+    placed = [
+        cell.task(batch.job, number).state is job.TaskState.PLACED
+        for number in range(10)
+    ]
+    assert all(placed)
+
+
+def test_team_over_its_quota_waits():
+    cell = cell_test.Cell(targets=4)
+    quota = {'teams': {'a': {'quota': 500_000}}}
+    cell.apply(event.ConfigurationPatched, 'p1', 1, quota)
+    cell.submit(cell_test.specify(1, count=12))
+    cell.dispatch()
+    assert len(cell.tables.attempts) == 6
--- /dev/null
+++ b/mulberrywalk/core/session_test.py
@@ -0,0 +1,33 @@
+"""Targets that come and leave."""
+
+from . import cell_test, effect, event, job
+
+
+def test_leaving_target_gets_nothing_and_recalls_starts():
+    cell = cell_test.Cell(targets=1)
+    cell.submit(cell_test.specify(1))
+    effects = cell.dispatch()
+    attempt = next(iter(cell.tables.attempts.values()))
+    effects = cell.apply(event.DepartureAnnounced, attempt.session)
+    assert any(isinstance(one, effect.StopAttempt) for one in effects)
+    cell.submit(cell_test.specify(2))
+    assert not any(
+        isinstance(one, effect.StartAttempt) for one in cell.dispatch(1000)
+    )
+
+
+def test_task_is_set_aside_when_no_kind_of_target_fits():
+    cell = cell_test.Cell()
+    told = cell.submit(cell_test.specify(1, millicores=50_000))
+    assert not cell.tables.waiting.aside
+    cell.open_session(0)
+    assert set(cell.tables.waiting.aside) == {job.task_id(told.job, 0)}
+
+
+def test_impossible_job_blocks_nobody():
+    cell = cell_test.Cell(targets=1)
+    for number in range(30):
+        cell.submit(cell_test.specify(number, millicores=50_000))
+    fitting = cell.submit(cell_test.specify(99))
+    cell.dispatch()
+    assert cell.task(fitting.job).state is job.TaskState.PLACED
