Spare backfilled work from preemption for a gang

A gang below its floor took back its kept targets from whatever ran there, the latest first; short requests that had been backfilled there were the latest, were stopped, and the next ones were backfilled in their place. Change: what was placed on the kept targets since they are kept ends before the gang starts, and is no victim. The new test failed before. Conclusion: preemption and backfill must agree on who is in the way.

--- a/mulberrywalk/core/gang.py
+++ b/mulberrywalk/core/gang.py
@@ -79,6 +79,19 @@
     )
 
 
+def is_backfill(tables: state.State, attempt: job.Attempt) -> bool:
+    """Return whether an attempt was placed on targets kept for a gang.
+
+    It ends before the gang is expected to start, so it is not in its way.
+    """
+    reservation = tables.reservation
+    return (
+        reservation is not None
+        and attempt.target in reservation.targets
+        and attempt.placed_at >= reservation.made_at
+    )
+
+
 def review(tables: state.State) -> None:
     """Drop a reservation whose gang is gone or whose targets have changed."""
     reservation = tables.reservation
--- a/mulberrywalk/core/preemption.py
+++ b/mulberrywalk/core/preemption.py
@@ -98,4 +98,6 @@
     load: fleet.TargetLoad = tables.fleet.loads[attempt.target]
     if not load.is_open or load.reserved_for != kept_for:
         return False
+    if gang.is_backfill(tables, attempt):
+        return False
     return resource.fits(demand, resource.add(load.free, attempt.held))
--- a/mulberrywalk/core/preemption_test.py
+++ b/mulberrywalk/core/preemption_test.py
@@ -1,5 +1,9 @@
 """Capacity that is taken back."""
 
+import itertools
+
+import msgspec
+
 from . import cell_test, effect, job
 
 
@@ -35,3 +39,34 @@
                 stopped += 1
     assert cell.task(gang.job).state is job.TaskState.PLACED
     assert stopped <= 6
+
+
+def estimated(specification, estimate_ms):
+    tasks = tuple(
+        msgspec.structs.replace(needs, estimate_ms=estimate_ms)
+        for needs in specification.tasks
+    )
+    return msgspec.structs.replace(specification, tasks=tasks)
+
+
+def test_preemption_for_a_gang_spares_what_ends_before_it_starts():
+    cell = cell_test.Cell(targets=4)
+    urgent = {'urgency': job.Urgency.CRITICAL}
+    long = cell_test.specify(1, count=60, team='night', **urgent)
+    cell.submit(estimated(long, 60_000))
+    cell.dispatch()
+    cell.submit(cell_test.specify(2, job.Kind.GANG, count=6, team='press'))
+    effects = [cell.dispatch(50) for _ in range(45)]
+    stops = [
+        effected
+        for effected in itertools.chain.from_iterable(effects)
+        if isinstance(effected, effect.StopAttempt)
+    ]
+    cell.report(stops[0].attempt, job.EndReason.STOPPED)
+    short = cell_test.specify(3, job.Kind.REQUEST, team='counter', **urgent)
+    backfilled = cell.submit(estimated(short, 100))
+    for _ in range(4):
+        cell.dispatch(10)
+    task = cell.task(backfilled.job)
+    assert task.state is job.TaskState.PLACED
+    assert cell.tables.attempts[task.attempt].stopping is None
