Measure floods over processes, and count open jobs as open

Ruled out: the queue bounds (10,000 low, 2,000 critical; 720 were submitted). The benchmark's column for the 99.9th percentile of events bears its name.

--- a/mulberrywalk/tools/load.py
+++ b/mulberrywalk/tools/load.py
@@ -23,6 +23,7 @@
 _MS_PER_S = 1000
 _SETTLE_MS = 60_000
 _OK = 200
+_ACCEPTED = 202
 _WIDTH = 120
 _REPORT = pathlib.Path('run/load')
 _FAMILIES = ('submitted', 'refused', 'completed', 'cancelled', 'retried')
@@ -154,17 +155,21 @@
             due_at = began_at + arrival.at / _MS_PER_S
             await anyio.sleep(max(0, due_at - time.monotonic()))
             url = f'http://{next(turns)}/v1/jobs?wait={_ANSWER_S}'
-            group.start_soon(_submit, client, url, arrival, due_at, seen)
+            group.start_soon(submit, client, url, arrival, due_at, seen)
     return seen
 
 
-async def _submit(
+async def submit(
     client: httpx.AsyncClient,
     url: str,
     arrival: replay.Arrival,
     due_at: float,
     seen: replay.Seen,
 ) -> None:
+    """Submit a job, wait for its answer and count what it tells.
+
+    due_at is the intended start on the monotonic clock, in seconds.
+    """
     count = len(arrival.specification.tasks)
     seen.submitted[arrival.label] += count
     body = msgspec.json.encode(arrival.specification)
@@ -172,6 +177,9 @@
         answered = await client.post(url, content=body)
     except httpx.TransportError:
         return
+    if answered.status_code == _ACCEPTED:
+        # Still waiting or running when the answer was due: not refused.
+        return
     if answered.status_code != _OK:
         seen.refused[arrival.label] += count
         return
--- a/tests/bench.py
+++ b/tests/bench.py
@@ -47,7 +47,7 @@
         'us a task',
         'event p50 us',
         'event p99 us',
-        'dispatch p99 us',
+        'event p99.9 us',
         'snapshot MB',
         'snapshot ms',
         'process MB',
