--- a/mulberrywalk/core/admission.py
+++ b/mulberrywalk/core/admission.py
@@ -13,6 +13,7 @@
     outcome,
     state,
     waiting,
+    workflow,
 )
 
 _RETRY_AFTER_MS = 1000
@@ -37,16 +38,12 @@
     refusal = _refuse(tables, specification)
     if refusal is not None:
         return _remember_refusal(tables, submitted, refusal)
-    record = job.Job(
-        job=identity.JobId(f'j{tables.next_sequence()}'),
-        specification=specification,
-        digest=submitted.digest,
-        state=job.JobState.QUEUED,
-        submitted_at=tables.time,
-        unfinished=len(specification.tasks),
-    )
+    record = _create_job(tables, submitted)
     tables.jobs[record.job] = record
     tables.requests[request] = record.job
+    lifecycle.count_pending(tables, record, 1)
+    if specification.kind is job.Kind.WORKFLOW:
+        workflow.begin(tables, record)
     for number, _ in enumerate(specification.tasks):
         lifecycle.wait(tables, _create_task(record, number))
     tables.emit(
@@ -67,11 +64,11 @@
             outcome.RefusalReason.NOT_FOUND, f'no job {cancelled.job}'
         )
     if record.unfinished and not record.is_cancelled:
-        tables.jobs[record.job] = msgspec.structs.replace(
-            record, is_cancelled=True
-        )
+        record = msgspec.structs.replace(record, is_cancelled=True)
+        tables.jobs[record.job] = record
         for task in lifecycle.tasks_of(tables, record):
             _cancel_task(tables, task)
+        workflow.drop_occurrences(tables, record.job)
     return outcome.Cancelled(record.job, tables.jobs[record.job].state)
 
 
@@ -92,6 +89,8 @@
     record = tables.jobs[identifier]
     for task in lifecycle.tasks_of(tables, record):
         tables.tasks.pop(task.task)
+    for step in workflow.steps_of(record):
+        tables.steps.pop(step)
     tables.jobs.pop(identifier)
     specification = record.specification
     tables.requests.pop((specification.team, specification.request_id))
@@ -110,11 +109,14 @@
 def _refuse(
     tables: state.State, specification: job.Specification
 ) -> outcome.NotRun | None:
+    fault = _find_fault(tables, specification)
+    if fault is not None:
+        return fault
     key = waiting.queue_key(specification.urgency, specification.team)
     limits = tables.configuration.document.classes[specification.urgency]
     bound = limits.queued_tasks_per_team
     waiting_tasks = tables.waiting.counts.get(key, 0)
-    if waiting_tasks + len(specification.tasks) <= bound:
+    if waiting_tasks + specification.count_tasks() <= bound:
         return None
     return outcome.NotRun(
         outcome.RefusalReason.QUEUE_FULL,
@@ -123,6 +125,21 @@
     )
 
 
+def _find_fault(
+    tables: state.State, specification: job.Specification
+) -> outcome.NotRun | None:
+    """Return why a job could not be run as it stands, or None."""
+    if specification.job in tables.jobs:
+        return outcome.NotRun(
+            outcome.RefusalReason.REQUEST_REUSED,
+            f'there is a job {specification.job} already',
+        )
+    fault = workflow.find_fault(specification)
+    if fault:
+        return outcome.NotRun(outcome.RefusalReason.INVALID_JOB, fault)
+    return None
+
+
 def _refuse_again(refused: state.Refusal, digest: str) -> outcome.Outcome:
     if refused.digest == digest:
         return outcome.NotRun(
@@ -163,6 +180,23 @@
         tables.refusals.pop(request)
 
 
+def _create_job(
+    tables: state.State, submitted: event.JobSubmitted
+) -> job.Job:
+    specification = submitted.specification
+    sequence = tables.next_sequence()
+    count = specification.count_tasks() * specification.count_occurrences()
+    return job.Job(
+        job=identity.JobId(specification.job or f'j{sequence}'),
+        specification=specification,
+        digest=submitted.digest,
+        state=job.JobState.QUEUED,
+        submitted_at=tables.time,
+        unfinished=count,
+        sequence=sequence,
+    )
+
+
 def _create_task(record: job.Job, number: int) -> job.Task:
     return job.Task(
         task=job.task_id(record.job, number),
@@ -171,11 +205,14 @@
         state=job.TaskState.WAITING,
         submitted_at=record.submitted_at,
         waiting_since=record.submitted_at,
+        sequence=record.sequence,
     )
 
 
 def _cancel_task(tables: state.State, task: job.Task) -> None:
-    if task.state is job.TaskState.WAITING:
+    if task.state is job.TaskState.BLOCKED:
+        lifecycle.finish(tables, task, job.TaskState.CANCELLED)
+    elif task.state is job.TaskState.WAITING:
         lifecycle.stop_waiting(tables, task)
         lifecycle.finish(tables, task, job.TaskState.CANCELLED)
     elif task.attempt is not None:
--- /dev/null
+++ b/mulberrywalk/core/advice.py
@@ -0,0 +1,149 @@
+"""Questions to the adviser of a queue, and what its answers allow.
+
+The load that this answers: queues whose policy lets a step run only on some
+targets, told by an adviser whose answer takes long and soon lapses. A step
+that waits for an answer holds up no other.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+from . import effect, event, fleet, identity, job, outcome, resource, state
+
+MOST_ASKED = 30
+# A ticket is not used so shortly before it lapses: the start has to arrive.
+MARGIN_MS = 500
+_PATIENCE_MS = 1500
+_ASK_AGAIN_MS = 250
+_US_PER_MS = 1000
+
+
+def find_valid(
+    tables: state.State, step: job.Step
+) -> dict[identity.TargetId, str]:
+    """Return the tickets that can be used now, by target."""
+    usable_until = tables.time + MARGIN_MS
+    return {
+        ticket.target: ticket.ticket
+        for ticket in step.tickets
+        if ticket.expires_at > usable_until
+        and _session_of(tables, ticket.target) == ticket.session
+    }
+
+
+def ask(
+    tables: state.State, step: job.Step, suitable: list[fleet.TargetLoad]
+) -> None:
+    """Ask about targets without a valid ticket, unless a question is open.
+
+    suitable are the targets that the step could run on but for the advice.
+    Those known to be allowed are asked first, for their answer is sure.
+    """
+    record = tables.jobs[step.job]
+    terms = record.specification.advice
+    if terms is None or _is_asking(tables, step, terms):
+        return
+    chosen = _choose(tables, step, suitable)
+    if not chosen:
+        return
+    expected_ms = _expected_ms(terms, len(chosen))
+    tables.steps[step.step] = msgspec.structs.replace(
+        step, asked_at=tables.time
+    )
+    tables.emit(
+        effect.AskAdvice(
+            step.step, chosen, record.specification.urgency, expected_ms
+        )
+    )
+
+
+def receive(
+    tables: state.State, received: event.AdviceReceived
+) -> outcome.Outcome:
+    """Keep what the adviser allows; nothing asked means that it failed."""
+    step = tables.steps.get(received.step)
+    if step is None:
+        return outcome.Recorded()
+    terms = tables.jobs[step.job].specification.advice
+    if terms is None:
+        return outcome.Recorded()
+    expires_at = tables.time - received.age_ms + terms.valid_ms
+    answered = set(received.asked)
+    allowed = {target for target, _ in received.allowed}
+    tickets = [
+        ticket for ticket in step.tickets if ticket.target not in answered
+    ]
+    tickets.extend(
+        job.Ticket(target, session, text, expires_at)
+        for target, text in received.allowed
+        if (session := _session_of(tables, target)) is not None
+    )
+    barred = (answered - allowed) | set(step.barred)
+    tables.steps[step.step] = msgspec.structs.replace(
+        step,
+        asked_at=0,
+        ask_after=0 if answered else tables.time + _ASK_AGAIN_MS,
+        tickets=tuple(tickets),
+        barred=tuple(sorted(barred)),
+    )
+    tables.emit(
+        effect.Trace(
+            'advised',
+            job=step.job,
+            detail=f'{step.step}: {len(allowed)} of {len(answered)}',
+        )
+    )
+    return outcome.Recorded()
+
+
+def _choose(
+    tables: state.State, step: job.Step, suitable: list[fleet.TargetLoad]
+) -> tuple[identity.TargetId, ...]:
+    valid = find_valid(tables, step)
+    barred = set(step.barred)
+    known = {ticket.target for ticket in step.tickets}
+    needs = tables.step_specification(step)
+    demand = needs.demand()
+    candidates = [
+        load
+        for load in suitable
+        if load.target not in valid and load.target not in barred
+    ]
+    with_room = [
+        load for load in candidates if resource.fits(demand, load.free)
+    ]
+    allowed = [load for load in with_room if load.target in known]
+    if allowed:
+        return tuple(load.target for load in allowed[:MOST_ASKED])
+    if not with_room:
+        return ()
+    ordered = sorted(
+        candidates,
+        key=lambda load: (
+            not resource.fits(demand, load.free),
+            -load.free.millicores,
+            load.target,
+        ),
+    )
+    return tuple(load.target for load in ordered[:MOST_ASKED])
+
+
+def _is_asking(
+    tables: state.State, step: job.Step, terms: job.AdviceTerms
+) -> bool:
+    if tables.time < step.ask_after:
+        return True
+    patience = _expected_ms(terms, MOST_ASKED) + _PATIENCE_MS
+    return bool(step.asked_at) and tables.time < step.asked_at + patience
+
+
+def _expected_ms(terms: job.AdviceTerms, count: int) -> int:
+    return terms.decision_ms + terms.per_target_us * count // _US_PER_MS
+
+
+def _session_of(
+    tables: state.State, name: identity.TargetId
+) -> identity.SessionId | None:
+    record = tables.targets.get(name)
+    return record.session if record else None
--- a/mulberrywalk/core/amendment.py
+++ b/mulberrywalk/core/amendment.py
@@ -32,6 +32,31 @@
     return outcome.PatchAccepted(known.version)
 
 
+def replace(
+    tables: state.State, replaced: event.ConfigurationReplaced
+) -> outcome.Outcome:
+    """Put a routing in force if its version is the highest so far.
+
+    One of a version that is not higher is acknowledged and changes nothing.
+    """
+    fault = configuration.find_fault(replaced.routing)
+    if fault:
+        return outcome.NotRun(outcome.RefusalReason.INVALID_ROUTING, fault)
+    current = tables.configuration
+    if replaced.routing.version <= current.routing.version:
+        return outcome.PatchAccepted(current.routing.version)
+    tables.configuration = configuration.Configuration(
+        current.version + 1, current.document, replaced.routing
+    )
+    tables.emit(effect.PublishConfiguration(current.version + 1))
+    tables.emit(
+        effect.Trace(
+            'configured', detail=f'routing {replaced.routing.version}'
+        )
+    )
+    return outcome.PatchAccepted(replaced.routing.version)
+
+
 def _decide_patch(
     tables: state.State,
     patched: event.ConfigurationPatched,
@@ -55,7 +80,9 @@
             document.reason,
         )
     version = current.version + 1
-    tables.configuration = configuration.Configuration(version, document)
+    tables.configuration = configuration.Configuration(
+        version, document, current.routing
+    )
     tables.emit(effect.PublishConfiguration(version))
     tables.emit(effect.Trace('configured', detail=f'version {version}'))
     return state.PatchRecord(digest, version)
--- a/mulberrywalk/core/cell_test.py
+++ b/mulberrywalk/core/cell_test.py
@@ -18,8 +18,20 @@
     )
 
 
+def step(count=1, millicores=1000, **more):
+    more.setdefault('memory_bytes', 1000)
+    more.setdefault('estimate_ms', 1000)
+    return job.StepSpecification(count, millicores, **more)
+
+
 def specify(number, kind=job.Kind.BATCH, count=1, millicores=1000, **more):
     memory = more.pop('memory', 1000)
+    if kind is job.Kind.WORKFLOW:
+        more.setdefault(
+            'steps', (step(count, millicores, memory_bytes=memory),)
+        )
+        more['is_idempotent'] = True
+        count = 0
     needs = job.TaskSpecification(millicores, memory, estimate_ms=1000)
     return job.Specification(
         request_id=f'r{number}',
--- a/mulberrywalk/core/configuration.py
+++ b/mulberrywalk/core/configuration.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import dataclasses
 import hashlib
 from typing import Annotated, Any
@@ -78,11 +79,58 @@
     finished_jobs: Positive = 20_000
 
 
+class Queue(msgspec.Struct, frozen=True):
+    """Where callers hand in workflows, and how these are served.
+
+    Callers name a queue by host and path prefix. timeout_ms bounds a call,
+    objective_ms and slack_percent set the objective of a job.
+    """
+
+    name: str
+    host: str
+    path_prefix: str
+    pool: str
+    urgency: job.Urgency
+    timeout_ms: int
+    objective_ms: int
+    slack_percent: int
+    max_failures: int
+    advice: job.AdviceTerms | None = None
+
+
+class PoolTerms(msgspec.Struct, frozen=True):
+    """A group of targets; a standby pool is switched off."""
+
+    name: str
+    is_standby: bool = False
+
+
+class Routing(msgspec.Struct, frozen=True):
+    """The queues and pools, replaced as a whole under the caller's version.
+
+    source is the document as the operator sent it, for reading it back.
+    """
+
+    version: int = 0
+    queues: tuple[Queue, ...] = ()
+    pools: tuple[PoolTerms, ...] = ()
+    max_body_bytes: int = 0
+    source: str = ''
+
+    def find_queue(self, name: str) -> Queue | None:
+        """Return the queue of a name, or None."""
+        return next((one for one in self.queues if one.name == name), None)
+
+
 class Configuration(msgspec.Struct, frozen=True):
-    """A document and its version; versions count up from one."""
+    """A document, the routing beside it, and their common version.
+
+    Versions count up from one with each change of either.
+    """
 
     version: int
     document: Document
+    routing: Routing = Routing()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -131,3 +179,23 @@
     """Return a digest that tells one patch from another."""
     body = msgspec.json.encode((version, changes), order='sorted')
     return hashlib.sha256(body).hexdigest()
+
+
+def find_fault(routing: Routing) -> str:
+    """Return why a routing is invalid, or nothing."""
+    pools = {pool.name for pool in routing.pools}
+    unknown = [one.name for one in routing.queues if one.pool not in pools]
+    if unknown:
+        return f'queue {unknown[0]} names an unknown pool'
+    places = collections.Counter(
+        (one.host, one.path_prefix) for one in routing.queues
+    )
+    doubled = [place for place, count in places.items() if count > 1]
+    if doubled:
+        return f'two queues share host and prefix {doubled[0]}'
+    endless = [one.name for one in routing.queues if one.timeout_ms <= 0]
+    if endless:
+        return f'queue {endless[0]} has no timeout'
+    if len({one.name for one in routing.queues}) < len(routing.queues):
+        return 'two queues share a name'
+    return ''
--- a/mulberrywalk/core/dispatch.py
+++ b/mulberrywalk/core/dispatch.py
@@ -22,11 +22,14 @@
     preemption,
     resource,
     share,
+    staging,
     state,
     waiting,
+    workflow,
 )
 
 _LOOK_AHEAD = 16
+_STEPS_AHEAD = 64
 _URGENCIES = tuple(job.Urgency)
 
 
@@ -51,6 +54,8 @@
     """Release what is due and place all that fits."""
     for name in tables.waiting.due(tables.time):
         lifecycle.enqueue(tables, tables.tasks[name])
+    workflow.release_due(tables)
+    tables.waiting.stuck.clear()
     health.release_due(tables)
     admission.forget_finished(tables)
     gang.review(tables)
@@ -106,11 +111,14 @@
     is_lent = turn.is_above_floor and turn.is_above_due
     if is_lent and not _has_headroom(tables, turn):
         return False
-    positions = tables.waiting.heads(key, _LOOK_AHEAD)
+    ahead = _STEPS_AHEAD if tables.waiting.steps else _LOOK_AHEAD
+    positions = tables.waiting.heads(key, ahead)
     if any(_place(tables, position.task) for position in positions):
         return True
-    if positions:
-        preemption.make_room(tables, key, tables.tasks[positions[0].task])
+    tasks = [one.task for one in positions if one.task in tables.tasks]
+    if tasks:
+        first = tables.tasks[identity.TaskId(tasks[0])]
+        preemption.make_room(tables, key, first)
     return False
 
 
@@ -128,8 +136,10 @@
     return share.of_all(tables) < resource.PARTS_PER_MILLION - headroom
 
 
-def _place(tables: state.State, name: identity.TaskId) -> bool:
-    task = tables.tasks[name]
+def _place(tables: state.State, name: str) -> bool:
+    if name in tables.steps:
+        return _place_step(tables, identity.StepId(name))
+    task = tables.tasks[identity.TaskId(name)]
     specification = tables.specification(task)
     if gang.is_whole(tables, task):
         return gang.place(tables, task)
@@ -140,6 +150,16 @@
     return True
 
 
+def _place_step(tables: state.State, name: identity.StepId) -> bool:
+    # Room only shrinks within a pass: what did not fit is not tried again.
+    if name in tables.waiting.stuck:
+        return False
+    is_placed = staging.place(tables, name)
+    if name in tables.waiting.steps:
+        tables.waiting.stuck.add(name)
+    return is_placed
+
+
 def choose(
     tables: state.State, task: job.Task, specification: job.Specification
 ) -> fleet.TargetLoad | None:
--- a/mulberrywalk/core/effect.py
+++ b/mulberrywalk/core/effect.py
@@ -65,6 +65,16 @@
     version: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class AskAdvice:
+    """The adviser is to be asked on which of the targets a step may run."""
+
+    step: identity.StepId
+    targets: tuple[identity.TargetId, ...]
+    urgency: job.Urgency
+    expected_ms: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Trace:
     """A line for the time line."""
@@ -86,5 +96,6 @@
     | EndSession
     | ReportJobEnd
     | PublishConfiguration
+    | AskAdvice
     | Trace
 )
--- a/mulberrywalk/core/event.py
+++ b/mulberrywalk/core/event.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from . import identity, job, resource
+from . import configuration, identity, job, resource
 
 
 class JobSubmitted(msgspec.Struct, frozen=True, tag=True):
@@ -29,6 +29,8 @@
 
     nonce makes a repeated announcement return the same session. ended names
     the target's previous session, of which it certifies that nothing runs.
+    address is where a target is called, empty for one that dials in; born_at
+    is then the start of its present life, in milliseconds since 1970.
     """
 
     target: identity.TargetId
@@ -37,6 +39,10 @@
     capacity: resource.Resources
     nonce: str
     ended: identity.SessionId | None = None
+    pool: identity.Pool = identity.Pool('')
+    labels: tuple[str, ...] = ()
+    address: str = ''
+    born_at: int = 0
 
 
 class SessionOpened(msgspec.Struct, frozen=True, tag=True):
@@ -105,6 +111,27 @@
     changes: dict[str, Any]
 
 
+class ConfigurationReplaced(msgspec.Struct, frozen=True, tag=True):
+    """An operator submits the whole routing under a version of its own."""
+
+    at: int
+    routing: configuration.Routing
+
+
+class AdviceReceived(msgspec.Struct, frozen=True, tag=True):
+    """The adviser has answered for a step, or could not be asked.
+
+    asked names the targets that it answered for; allowed gives the tickets of
+    those on which the step may run, valid from at less age_ms.
+    """
+
+    at: int
+    step: identity.StepId
+    asked: tuple[identity.TargetId, ...]
+    allowed: tuple[tuple[identity.TargetId, str], ...]
+    age_ms: int
+
+
 class TimePassed(msgspec.Struct, frozen=True, tag=True):
     """The leader's clock; ends each batch and lets waiting work be placed."""
 
@@ -119,5 +146,7 @@
     | DepartureAnnounced
     | ReportReceived
     | ConfigurationPatched
+    | ConfigurationReplaced
+    | AdviceReceived
     | TimePassed
 )
--- a/mulberrywalk/core/fleet.py
+++ b/mulberrywalk/core/fleet.py
@@ -37,6 +37,8 @@
     is_probed: bool = False
     reserved_for: identity.JobId | None = None
     is_indexed: bool = False
+    pool: identity.Pool = identity.Pool('')
+    labels: frozenset[str] = frozenset()
 
 
 class Fleet:
--- a/mulberrywalk/core/identity.py
+++ b/mulberrywalk/core/identity.py
@@ -6,6 +6,8 @@
 
 JobId = NewType('JobId', str)
 TaskId = NewType('TaskId', str)
+# One step of one occurrence of a job: JOB.OCCURRENCE.STEP.
+StepId = NewType('StepId', str)
 AttemptId = NewType('AttemptId', str)
 SessionId = NewType('SessionId', str)
 TargetId = NewType('TargetId', str)
@@ -13,6 +15,8 @@
 Team = NewType('Team', str)
 DataCentre = NewType('DataCentre', str)
 Rack = NewType('Rack', str)
+# A group of targets that run the work of the same queues.
+Pool = NewType('Pool', str)
 ProcessName = NewType('ProcessName', str)
 # Milliseconds since 1970 of the leader's wall clock, entering by events.
 Time = NewType('Time', int)
--- a/mulberrywalk/core/job.py
+++ b/mulberrywalk/core/job.py
@@ -19,6 +19,9 @@
 MAX_MILLICORES = 1_000_000
 MAX_MEMORY_BYTES = 1_125_899_906_842_624
 MAX_ACCELERATORS = 1024
+MAX_STEPS = 64
+MAX_OCCURRENCES = 100_000
+MAX_LABEL = 256
 
 Name = Annotated[
     str,
@@ -35,6 +38,7 @@
     BATCH = 'batch'
     GANG = 'gang'
     REQUEST = 'request'
+    WORKFLOW = 'workflow'
 
 
 class Urgency(enum.StrEnum):
@@ -58,8 +62,12 @@
 
 
 class TaskState(enum.StrEnum):
-    """Where a task stands; all but the first three are final."""
+    """Where a task stands; all but the first four are final.
 
+    A blocked task waits for the end of earlier steps of its job.
+    """
+
+    BLOCKED = 'blocked'
     WAITING = 'waiting'
     PLACED = 'placed'
     RUNNING = 'running'
@@ -88,6 +96,12 @@
     NEVER_STARTED = 'never_started'
     SESSION_LOST = 'session_lost'
     ANSWER_TOO_LARGE = 'answer_too_large'
+    # The lease of the target ran out while the attempt was on it.
+    LEASE_LAPSED = 'lease_lapsed'
+    # Another member of the gang ended.
+    GANG_BROKEN = 'gang_broken'
+    # The other members of the gang did not start in time.
+    GANG_INCOMPLETE = 'gang_incomplete'
 
 
 class StopReason(enum.StrEnum):
@@ -98,6 +112,12 @@
     RECALLED = 'recalled'
     OVERUSED = 'overused'
     OVERDUE = 'overdue'
+    # The job has failed, so that the rest of it is of no use.
+    ABANDONED = 'abandoned'
+    # Another member of the gang has ended or never started.
+    GANG_BROKEN = 'gang_broken'
+    # The target is leaving before the task would end.
+    EVACUATED = 'evacuated'
 
 
 class TaskSpecification(
@@ -118,20 +138,110 @@
         )
 
 
+class StepSpecification(
+    msgspec.Struct, frozen=True, forbid_unknown_fields=True, gc=False
+):
+    """One step of a workflow: several tasks of the same needs.
+
+    after names earlier steps, counted from zero, whose tasks must all have
+    completed. label is what a target must have. per_target_limit bounds the
+    tasks of the step on one target, zero for no bound. A lasting step runs
+    until the job is cancelled; planned_absences of its tasks may be away by
+    decisions of the scheduler at once. A filler's processor is not counted
+    against a target: it gets what other tasks leave unused.
+    """
+
+    count: Annotated[int, msgspec.Meta(ge=1, le=MAX_TASKS)]
+    millicores: Annotated[int, msgspec.Meta(ge=0, le=MAX_MILLICORES)] = 0
+    memory_bytes: Annotated[int, msgspec.Meta(ge=0, le=MAX_MEMORY_BYTES)] = 0
+    accelerators: Annotated[int, msgspec.Meta(ge=0, le=MAX_ACCELERATORS)] = 0
+    estimate_ms: Annotated[int, msgspec.Meta(ge=0, le=MAX_RUN_MS)] = 0
+    after: tuple[int, ...] = ()
+    is_gang: bool = msgspec.field(name='gang', default=False)
+    is_checkpointing: bool = msgspec.field(name='checkpointing', default=False)
+    is_lasting: bool = msgspec.field(name='lasting', default=False)
+    is_filler: bool = msgspec.field(name='filler', default=False)
+    is_speculative: bool = msgspec.field(name='speculative', default=False)
+    is_rack_local: bool = msgspec.field(name='rack_local', default=False)
+    label: Annotated[str, msgspec.Meta(max_length=MAX_LABEL)] = ''
+    data_rack: Annotated[str, msgspec.Meta(max_length=MAX_LABEL)] = ''
+    per_target_limit: Annotated[int, msgspec.Meta(ge=0, le=MAX_TASKS)] = 0
+    image: Annotated[str, msgspec.Meta(max_length=MAX_LABEL)] = ''
+    latency_target_ms: Annotated[int, msgspec.Meta(ge=0, le=MAX_RUN_MS)] = 0
+    planned_absences: Annotated[int, msgspec.Meta(ge=0, le=MAX_TASKS)] = 0
+
+    def demand(self) -> resource.Resources:
+        """Return what one task takes of a target."""
+        return resource.Resources(
+            0 if self.is_filler else self.millicores,
+            self.memory_bytes,
+            self.accelerators,
+            slots=1,
+        )
+
+
+class AdviceTerms(
+    msgspec.Struct, frozen=True, forbid_unknown_fields=True, gc=False
+):
+    """What an answer of the adviser of a queue costs and how long it holds."""
+
+    decision_ms: Annotated[int, msgspec.Meta(ge=0, le=MAX_RUN_MS)]
+    per_target_us: Annotated[int, msgspec.Meta(ge=0, le=MAX_RUN_MS)]
+    valid_ms: Annotated[int, msgspec.Meta(ge=1, le=MAX_RUN_MS)]
+
+
+class Recurrence(
+    msgspec.Struct, frozen=True, forbid_unknown_fields=True, gc=False
+):
+    """When the steps run: occurrence K is due at first_at + K interval_ms."""
+
+    first_at: Annotated[int, msgspec.Meta(ge=0)]
+    interval_ms: Annotated[int, msgspec.Meta(ge=0, le=MAX_RUN_MS)]
+    count: Annotated[int, msgspec.Meta(ge=1, le=MAX_OCCURRENCES)]
+
+
 class Specification(
     msgspec.Struct, frozen=True, forbid_unknown_fields=True, gc=False
 ):
-    """A job as its caller submits it."""
+    """A job as its caller submits it.
+
+    A workflow has steps, every other kind has tasks. job is an identifier of
+    the caller's choice. queue and pool say where a workflow's tasks may run;
+    max_failures zero means that of the configuration. The objective of a
+    workflow is slack_percent of its longest chain, and objective_ms more.
+    """
 
     request_id: Name
     team: Name
     kind: Kind
     tasks: Annotated[
         tuple[TaskSpecification, ...],
-        msgspec.Meta(min_length=1, max_length=MAX_TASKS),
-    ]
+        msgspec.Meta(max_length=MAX_TASKS),
+    ] = ()
     urgency: Urgency = Urgency.NORMAL
     is_idempotent: bool = msgspec.field(name='idempotent', default=True)
+    steps: Annotated[
+        tuple[StepSpecification, ...], msgspec.Meta(max_length=MAX_STEPS)
+    ] = ()
+    job: Annotated[str, msgspec.Meta(max_length=MAX_NAME)] = ''
+    queue: Annotated[str, msgspec.Meta(max_length=MAX_NAME)] = ''
+    pool: Annotated[str, msgspec.Meta(max_length=MAX_NAME)] = ''
+    payload: Annotated[str, msgspec.Meta(max_length=MAX_PAYLOAD)] = ''
+    max_failures: Annotated[int, msgspec.Meta(ge=0, le=MAX_TASKS)] = 0
+    objective_ms: Annotated[int, msgspec.Meta(ge=0, le=MAX_RUN_MS)] = 0
+    slack_percent: Annotated[int, msgspec.Meta(ge=0, le=MAX_TASKS)] = 100
+    advice: AdviceTerms | None = None
+    recurrence: Recurrence | None = None
+
+    def count_tasks(self) -> int:
+        """Return how many tasks one occurrence of the job has."""
+        if self.kind is Kind.WORKFLOW:
+            return sum(step.count for step in self.steps)
+        return len(self.tasks)
+
+    def count_occurrences(self) -> int:
+        """Return how often the steps run."""
+        return self.recurrence.count if self.recurrence else 1
 
 
 class AttemptRecord(msgspec.Struct, frozen=True, gc=False):
@@ -150,7 +260,8 @@
     """A live attempt: it holds capacity until its end is known.
 
     started_at is zero until the target has confirmed the start. held is the
-    larger of what was declared and what the target reported as used.
+    larger of what was declared and what the target reported as used. number
+    counts the attempts of the task; members of a gang share it.
     """
 
     attempt: identity.AttemptId
@@ -162,6 +273,8 @@
     started_at: int = 0
     stopping: StopReason | None = None
     is_throttled: bool = False
+    ticket: str = ''
+    number: int = 0
 
 
 class Task(msgspec.Struct, frozen=True, gc=False):
@@ -190,14 +303,60 @@
     answer: str = ''
     checkpoint: str = ''
     used_bytes: int = 0
+    occurrence: int = 0
+    step: int = 0
+    sequence: int = 0
+
+    def step_id(self) -> identity.StepId:
+        """Return the step that the task belongs to."""
+        return step_id(self.job, self.occurrence, self.step)
+
+
+class Ticket(msgspec.Struct, frozen=True, gc=False):
+    """The adviser's leave to run a step on one life of a target."""
+
+    target: identity.TargetId
+    session: identity.SessionId
+    ticket: str
+    expires_at: int
+
+
+class Step(msgspec.Struct, frozen=True, gc=False):
+    """One step of one occurrence of a workflow.
+
+    blocked_by counts the earlier steps that have not completed, unfinished
+    the own tasks. order is the latest time to start for the objective. For a
+    gang failures counts the failed runs, failed_run and completed_run name
+    the last of either kind. asked_at is when an open question to the adviser
+    was asked, zero for none, and no other is asked before ask_after; barred
+    names the targets that the adviser does not allow.
+    """
+
+    step: identity.StepId
+    job: identity.JobId
+    occurrence: int
+    number: int
+    sequence: int
+    order: int
+    blocked_by: int
+    unfinished: int
+    failures: int = 0
+    failed_run: int = 0
+    completed_run: int = 0
+    asked_at: int = 0
+    ask_after: int = 0
+    tickets: tuple[Ticket, ...] = ()
+    barred: tuple[identity.TargetId, ...] = ()
 
 
 class Job(msgspec.Struct, frozen=True, gc=False):
     """A job that was accepted.
 
-    unfinished counts the tasks without a final state, completions the
-    attempts that completed; failed_on names the first few targets on which
-    its tasks failed.
+    unfinished counts the tasks without a final state, those of occurrences
+    that are not due yet included; completions the attempts that completed;
+    failed_on names the first few targets on which its tasks failed. released
+    counts the occurrences whose tasks exist. A job is abandoned when one of
+    its tasks has failed for good.
     """
 
     job: identity.JobId
@@ -210,6 +369,9 @@
     is_cancelled: bool = False
     completions: int = 0
     failed_on: tuple[identity.TargetId, ...] = ()
+    sequence: int = 0
+    released: int = 0
+    is_abandoned: bool = False
 
 
 def answer_limit(specification: Specification) -> int:
@@ -217,7 +379,7 @@
 
     The whole answer of a job has to fit into one message.
     """
-    return min(MAX_PAYLOAD, MAX_ANSWERS // len(specification.tasks))
+    return min(MAX_PAYLOAD, MAX_ANSWERS // specification.count_tasks())
 
 
 def task_id(job: identity.JobId, number: int) -> identity.TaskId:
@@ -225,6 +387,13 @@
     return identity.TaskId(f'{job}.{number}')
 
 
+def step_id(
+    job: identity.JobId, occurrence: int, step: int
+) -> identity.StepId:
+    """Return the identifier of a step of a workflow."""
+    return identity.StepId(f'{job}.{occurrence}.{step}')
+
+
 def rank(urgency: Urgency) -> int:
     """Return the place of an urgency, zero for the most urgent."""
     return _RANKS[urgency]
--- a/mulberrywalk/core/lifecycle.py
+++ b/mulberrywalk/core/lifecycle.py
@@ -16,6 +16,7 @@
     retry,
     state,
     waiting,
+    workflow,
 )
 
 _FAILED_TARGETS_KEPT = 2
@@ -54,6 +55,12 @@
     Of a gang that was not placed yet, the first task stands for all.
     """
     kind = tables.specification(task).kind
+    if kind is job.Kind.WORKFLOW:
+        step = tables.steps[task.step_id()]
+        tables.waiting.add_of_step(
+            key_of(tables, task), position_of_step(step), task.number
+        )
+        return
     if kind is job.Kind.GANG and task.number and not task.attempts:
         return
     demand = tables.demand(task)
@@ -67,18 +74,34 @@
     """Take a task out of the queue, the delayed and those set aside."""
     key = key_of(tables, task)
     tables.waiting.count(key, -1)
-    tables.waiting.discard(key, position_of(task))
     tables.waiting.delayed.discard((task.not_before, task.task))
+    step = tables.steps.get(task.step_id())
+    if step is not None:
+        tables.waiting.discard_of_step(
+            key, position_of_step(step), task.number
+        )
+        return
+    tables.waiting.discard(key, position_of(task))
     tables.waiting.aside.pop(task.task, None)
 
 
-def place(tables: state.State, task: job.Task, load: fleet.TargetLoad) -> None:
-    """Give a waiting task a new attempt on a target."""
+def place(
+    tables: state.State,
+    task: job.Task,
+    load: fleet.TargetLoad,
+    *,
+    number: int = 0,
+    ticket: str = '',
+) -> None:
+    """Give a waiting task a new attempt on a target.
+
+    The attempt has the next number of the task, or the one that is given.
+    """
     session = tables.targets[load.target].session
     if session is None:
         raise AssertionError(f'{load.target} is open without a session')
     stop_waiting(tables, task)
-    number = task.attempts + 1
+    number = number or task.attempts + 1
     attempt = job.Attempt(
         attempt=identity.AttemptId(f'{task.task}/{number}'),
         task=task.task,
@@ -86,6 +109,8 @@
         target=load.target,
         held=tables.demand(task),
         placed_at=tables.time,
+        ticket=ticket,
+        number=number,
     )
     tables.tasks[task.task] = msgspec.structs.replace(
         task,
@@ -139,6 +164,9 @@
     trace(tables, 'ended', attempt, ended.reason.value)
     _credit(tables, attempt, task, ended.reason)
     specification = tables.specification(task)
+    if specification.kind is job.Kind.WORKFLOW:
+        workflow.end_attempt(tables, task, attempt, ended)
+        return
     is_service = specification.kind is job.Kind.SERVICE
     if ended.reason is job.EndReason.COMPLETED and not is_service:
         finish(tables, task, job.TaskState.COMPLETED)
@@ -160,11 +188,13 @@
     record = msgspec.structs.replace(record, unfinished=unfinished)
     tables.jobs[task.job] = record
     if unfinished == 0:
-        _finish_job(tables, record)
+        finish_job(tables, record)
 
 
 def tasks_of(tables: state.State, record: job.Job) -> list[job.Task]:
-    """Return the tasks of a job in order."""
+    """Return the tasks of a job in order, those that exist so far."""
+    if record.specification.kind is job.Kind.WORKFLOW:
+        return workflow.tasks_of(tables, record)
     count = len(record.specification.tasks)
     return [
         tables.tasks[job.task_id(record.job, number)] for number in range(count)
@@ -180,13 +210,22 @@
 def position_of(task: job.Task) -> waiting.Position:
     """Return the place of a task in its queue."""
     return waiting.Position(
-        task.submitted_at,
-        waiting.sequence_number(task.job),
-        task.number,
-        task.task,
+        task.submitted_at, task.sequence, task.number, task.task
     )
 
 
+def position_of_step(step: job.Step) -> waiting.Position:
+    """Return the place of a step in its queue."""
+    return waiting.Position(step.order, step.sequence, step.number, step.step)
+
+
+def count_pending(tables: state.State, record: job.Job, change: int) -> None:
+    """Change how many jobs of a queue have not begun."""
+    queue = record.specification.queue
+    if queue:
+        tables.pending[queue] += change
+
+
 def trace(
     tables: state.State, what: str, attempt: job.Attempt, detail: str = ''
 ) -> None:
@@ -339,14 +378,20 @@
 def _set_job_running(tables: state.State, identifier: identity.JobId) -> None:
     record = tables.jobs[identifier]
     if record.state is job.JobState.QUEUED:
+        count_pending(tables, record, -1)
         tables.jobs[identifier] = msgspec.structs.replace(
             record, state=job.JobState.RUNNING
         )
 
 
-def _finish_job(tables: state.State, record: job.Job) -> None:
+def finish_job(tables: state.State, record: job.Job) -> None:
+    """Give a job of which every task has ended its final state."""
     states = {task.state for task in tasks_of(tables, record)}
+    if record.is_cancelled:
+        states.add(job.TaskState.CANCELLED)
     worst = next(one for one in _WORST_FIRST if one in states)
+    if record.state is job.JobState.QUEUED:
+        count_pending(tables, record, -1)
     tables.jobs[record.job] = msgspec.structs.replace(
         record, state=_FINAL_STATES[worst], ended_at=tables.time
     )
--- a/mulberrywalk/core/outcome.py
+++ b/mulberrywalk/core/outcome.py
@@ -22,6 +22,10 @@
     NOT_READY = 'not_ready'
     OVERLOADED = 'overloaded'
     SESSION_GONE = 'session_gone'
+    INVALID_ROUTING = 'invalid_routing'
+    UNKNOWN_QUEUE = 'unknown_queue'
+    INVALID_JOB = 'invalid_job'
+    SUPERSEDED_LIFE = 'superseded_life'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/mulberrywalk/core/reducer.py
+++ b/mulberrywalk/core/reducer.py
@@ -12,6 +12,7 @@
 
 from . import (
     admission,
+    advice,
     amendment,
     dispatch,
     effect,
@@ -87,6 +88,8 @@
             event.DepartureAnnounced: _depart,
             event.ReportReceived: _report,
             event.ConfigurationPatched: amendment.patch,
+            event.ConfigurationReplaced: amendment.replace,
+            event.AdviceReceived: advice.receive,
             event.TimePassed: _pass_time,
         }
     )
--- a/mulberrywalk/core/retry.py
+++ b/mulberrywalk/core/retry.py
@@ -44,6 +44,12 @@
         return False
     document = tables.configuration.document
     return (
-        task.failures >= document.max_failures
+        task.failures >= most_failures(tables, task)
         or task.losses >= document.max_losses
     )
+
+
+def most_failures(tables: state.State, task: job.Task) -> int:
+    """Return after how many failures a task is given up."""
+    chosen = tables.specification(task).max_failures
+    return chosen or tables.configuration.document.max_failures
--- a/mulberrywalk/core/session.py
+++ b/mulberrywalk/core/session.py
@@ -30,17 +30,25 @@
     known = _find(tables, announcement)
     if known is not None:
         return outcome.SessionGranted(known)
+    if _is_superseded(tables, announcement):
+        return outcome.NotRun(
+            outcome.RefusalReason.SUPERSEDED_LIFE,
+            f'{announcement.target} has been followed at its address',
+        )
     if announcement.ended in tables.sessions:
         end_session(tables, announcement.ended)
+    _end_earlier_life(tables, announcement)
     session = target.Session(
         session=identity.SessionId(f's{tables.next_sequence()}'),
         target=announcement.target,
         nonce=announcement.nonce,
         opened_at=tables.time,
+        born_at=announcement.born_at,
     )
     tables.sessions[session.session] = session
     tables.session_counts[session.target] += 1
     _record_target(tables, announcement, session.session)
+    _carry_over(tables, session)
     tables.emit(
         effect.Trace(
             'session opened',
@@ -157,7 +165,12 @@
         capacity=announcement.capacity,
         session=session,
         health=known.health if known else target.Health(),
+        pool=announcement.pool,
+        labels=announcement.labels,
+        address=announcement.address,
     )
+    if record.address:
+        tables.addresses[record.address] = record.target
     kinds = set(tables.fleet.capacities)
     tables.targets[record.target] = record
     install_load(tables, record)
@@ -182,11 +195,72 @@
             capacity=record.capacity,
             free=free,
             attempts=attempts,
+            pool=record.pool,
+            labels=frozenset(record.labels),
         )
     )
     health.refresh(tables, record.target)
 
 
+def _is_superseded(
+    tables: state.State, announcement: event.Announcement
+) -> bool:
+    """Return whether a later life is known at the target's address."""
+    successor = tables.addresses.get(announcement.address)
+    known = tables.targets.get(successor) if successor else None
+    if known is None or known.session is None:
+        return False
+    return tables.sessions[known.session].born_at > announcement.born_at
+
+
+def _end_earlier_life(
+    tables: state.State, announcement: event.Announcement
+) -> None:
+    """End the session of another target that was at the same address.
+
+    Only one life can be there, so that nothing of the earlier one runs. An
+    order to it that is still under way names it and is refused there.
+    """
+    earlier = tables.addresses.get(announcement.address)
+    known = tables.targets.get(earlier) if earlier else None
+    if known is None or known.target == announcement.target:
+        return
+    end_session(tables, known.session)
+
+
+def _carry_over(tables: state.State, session: target.Session) -> None:
+    """Bar what an earlier life of the same target was told to run.
+
+    It runs no more, but an order that is still under way would be taken by
+    the new life, which has the same name: each is stopped there first, and
+    holds its capacity until then.
+    """
+    if not session.born_at:
+        return
+    earlier = [
+        one.session
+        for one in tables.sessions.values()
+        if one.target == session.target and one.session != session.session
+    ]
+    for name in earlier:
+        for attempt in sorted(tables.by_session.get(name, ())):
+            _move(tables, tables.attempts[attempt], session.session)
+        end_session(tables, name)
+
+
+def _move(
+    tables: state.State, attempt: job.Attempt, session: identity.SessionId
+) -> None:
+    moved = msgspec.structs.replace(
+        attempt,
+        session=session,
+        stopping=attempt.stopping or job.StopReason.RECALLED,
+    )
+    state.remove_attempt(tables, attempt)
+    state.add_attempt(tables, moved)
+    tables.emit(effect.StopAttempt(moved))
+
+
 def _review_waiting(tables: state.State) -> None:
     """Set aside what fits on no kind of target, and let the rest queue.
 
@@ -197,6 +271,7 @@
         position.task
         for queue in tables.waiting.queues.values()
         for position in queue
+        if position.task not in tables.steps
     ]
     for name in sorted((*queued, *tables.waiting.aside)):
         task = tables.tasks[name]
@@ -221,6 +296,8 @@
 def _remove_target(tables: state.State, load: fleet.TargetLoad) -> None:
     tables.fleet.remove(load.target)
     record = tables.targets.pop(load.target)
+    if tables.addresses.get(record.address) == record.target:
+        tables.addresses.pop(record.address)
     tables.quarantined.discard((record.health.until, load.target))
     if load.capacity not in tables.fleet.capacities:
         _review_waiting(tables)
--- a/mulberrywalk/core/snapshot.py
+++ b/mulberrywalk/core/snapshot.py
@@ -14,6 +14,7 @@
     session,
     state,
     target,
+    workflow,
 )
 
 Key = TypeVar('Key', bound=str)
@@ -38,6 +39,7 @@
     patches: list[tuple[str, state.PatchRecord]]
     reservation: state.Reservation | None
     refusals: list[RefusalItem]
+    steps: list[job.Step] = []
 
 
 def encode(tables: state.State) -> bytes:
@@ -55,6 +57,7 @@
         patches=list(tables.patches.items()),
         reservation=tables.reservation,
         refusals=list(tables.refusals.items()),
+        steps=_ordered(tables.steps),
     )
     return msgspec.msgpack.encode(image)
 
@@ -73,6 +76,7 @@
         budgets=image.budgets,
         patches=dict(image.patches),
         refusals=dict(image.refusals),
+        steps={record.step: record for record in image.steps},
     )
     _index_targets(tables)
     _index_jobs(tables)
@@ -92,6 +96,8 @@
         tables.session_counts[opened.target] += 1
     for record in tables.targets.values():
         session.install_load(tables, record)
+        if record.address:
+            tables.addresses[record.address] = record.target
         if record.health.until > tables.time:
             tables.quarantined.add((record.health.until, record.target))
         health.refresh(tables, record.target)
@@ -104,6 +110,10 @@
         tables.requests[request] = record.job
         if record.unfinished == 0:
             tables.finished.add((record.ended_at, record.job))
+        elif specification.kind is job.Kind.WORKFLOW:
+            workflow.schedule(tables, record)
+        if record.state is job.JobState.QUEUED:
+            lifecycle.count_pending(tables, record, 1)
 
 
 def _index_tasks(tables: state.State) -> None:
--- /dev/null
+++ b/mulberrywalk/core/staging.py
@@ -0,0 +1,268 @@
+"""Placement of the waiting tasks of a step, as many as fit.
+
+The load that this answers: wide steps of equal tasks, of which some targets
+are ruled out by the adviser, by labels or by tasks of the same step.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import itertools
+
+from . import (
+    advice,
+    fleet,
+    identity,
+    job,
+    lifecycle,
+    resource,
+    state,
+    workflow,
+)
+
+# Targets that are looked at for a step without an adviser.
+_CANDIDATES = 64
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Round:
+    """One step that is being placed; tickets are empty without an adviser."""
+
+    step: job.Step
+    needs: job.StepSpecification
+    demand: resource.Resources
+    candidates: list[fleet.TargetLoad]
+    tickets: dict[identity.TargetId, str]
+
+
+def place(tables: state.State, name: identity.StepId) -> bool:
+    """Place what fits of a step; return whether anything was placed.
+
+    A step that could place more with other tickets asks for them.
+    """
+    step = tables.steps[name]
+    needs = tables.step_specification(step)
+    numbers = list(tables.waiting.steps.get(name, ()))
+    if needs.is_gang and len(numbers) < needs.count:
+        return False
+    suitable = _suitable(tables, step, needs)
+    started = _begin(tables, step, needs, suitable)
+    if needs.is_gang:
+        count = _place_gang(tables, started, numbers)
+    else:
+        count = _place_each(tables, started, numbers)
+    if count < len(numbers):
+        advice.ask(tables, tables.steps[name], suitable)
+    return count > 0
+
+
+def _begin(
+    tables: state.State,
+    step: job.Step,
+    needs: job.StepSpecification,
+    suitable: list[fleet.TargetLoad],
+) -> Round:
+    tickets: dict[identity.TargetId, str] = {}
+    candidates = suitable
+    if tables.jobs[step.job].specification.advice is not None:
+        tickets = advice.find_valid(tables, step)
+        candidates = [load for load in suitable if load.target in tickets]
+    return Round(step, needs, needs.demand(), candidates, tickets)
+
+
+def _suitable(
+    tables: state.State, step: job.Step, needs: job.StepSpecification
+) -> list[fleet.TargetLoad]:
+    """Return the open targets on which the step may run, but for advice."""
+    specification = tables.jobs[step.job].specification
+    demand = needs.demand()
+    # In the order of their names: a restored replica has another one.
+    loads = (
+        load
+        for _, load in sorted(tables.fleet.loads.items())
+        if load.is_open
+        and load.reserved_for is None
+        and not (load.is_probed and load.attempts)
+        and (not specification.pool or load.pool == specification.pool)
+        and (not needs.label or needs.label in load.labels)
+        and resource.fits(demand, load.capacity)
+    )
+    if specification.advice is not None:
+        return list(loads)
+    fitting = (load for load in loads if resource.fits(demand, load.free))
+    return list(itertools.islice(fitting, _CANDIDATES))
+
+
+def _place_each(
+    tables: state.State, started: Round, numbers: list[int]
+) -> int:
+    for count, number in enumerate(numbers):
+        task = _task(tables, started.step, number)
+        load = _choose(tables, started, task)
+        if load is None:
+            return count
+        _place(tables, started, task, load, task.attempts + 1)
+    return len(numbers)
+
+
+def _place_gang(
+    tables: state.State, started: Round, numbers: list[int]
+) -> int:
+    """Place all members on targets that hold them together, or none."""
+    racks = {load.rack for load in started.candidates}
+    choices = [started.candidates]
+    if started.needs.is_rack_local:
+        choices = [
+            *(
+                [load for load in started.candidates if load.rack == rack]
+                for rack in sorted(racks)
+            ),
+            started.candidates,
+        ]
+    for candidates in choices:
+        chosen = _allocate(tables, started, candidates, len(numbers))
+        if chosen is not None:
+            _place_members(tables, started, numbers, chosen)
+            return len(numbers)
+    return 0
+
+
+def _place_members(
+    tables: state.State,
+    started: Round,
+    numbers: list[int],
+    chosen: list[fleet.TargetLoad],
+) -> None:
+    run = workflow.runs_of(tables, started.step) + 1
+    for number, load in zip(numbers, chosen, strict=True):
+        task = _task(tables, started.step, number)
+        _place(tables, started, task, load, run)
+
+
+def _allocate(
+    tables: state.State,
+    started: Round,
+    candidates: list[fleet.TargetLoad],
+    count: int,
+) -> list[fleet.TargetLoad] | None:
+    """Return targets for that many equal tasks, the fullest first."""
+    chosen: list[fleet.TargetLoad] = []
+    for load in sorted(candidates, key=_fullness):
+        room = _count_fitting(started.demand, load.free)
+        if load.is_probed:
+            room = min(room, 1)
+        limit = started.needs.per_target_limit
+        if limit:
+            room = min(room, limit - _count_on(tables, started.step, load))
+        chosen.extend(itertools.repeat(load, max(0, room)))
+        if len(chosen) >= count:
+            return chosen[:count]
+    return None
+
+
+def _count_fitting(
+    demand: resource.Resources, free: resource.Resources
+) -> int:
+    counts = [
+        available // wanted
+        for available, wanted in (
+            (free.millicores, demand.millicores),
+            (free.memory_bytes, demand.memory_bytes),
+            (free.accelerators, demand.accelerators),
+            (free.slots, demand.slots),
+        )
+        if wanted
+    ]
+    return min(counts, default=job.MAX_TASKS)
+
+
+def _choose(
+    tables: state.State, started: Round, task: job.Task
+) -> fleet.TargetLoad | None:
+    fitting = [
+        load
+        for load in started.candidates
+        if resource.fits(started.demand, load.free)
+        and not (load.is_probed and load.attempts)
+        and _is_below_limit(tables, started, load)
+    ]
+    if not fitting:
+        return None
+    failed_on = _failed_on(task)
+    present = tables.step_loads.get(started.step.step, {})
+    racks = {tables.fleet.loads[name].rack for name in present}
+    needs = started.needs
+
+    def rank(load: fleet.TargetLoad) -> tuple[int, ...]:
+        return (
+            int(load.target in failed_on),
+            int(bool(needs.data_rack) and load.rack != needs.data_rack),
+            int(needs.is_rack_local and bool(racks) and load.rack not in racks),
+            *_crowding(tables, started, load),
+        )
+
+    return min(fitting, key=lambda load: (rank(load), load.target))
+
+
+def _crowding(
+    tables: state.State, started: Round, load: fleet.TargetLoad
+) -> tuple[int, ...]:
+    """Return what orders targets that are equally near."""
+    needs = started.needs
+    if needs.is_lasting:
+        siblings = _count_on(tables, started.step, load)
+        return siblings, -load.free.millicores
+    if needs.is_filler:
+        return _count_serving(tables, load), -load.free.millicores
+    return 0, load.free.millicores
+
+
+def _count_serving(tables: state.State, load: fleet.TargetLoad) -> int:
+    """Return how many tasks with a latency target are on a target."""
+    tasks = (
+        tables.tasks[tables.attempts[name].task] for name in load.attempts
+    )
+    return sum(
+        bool(getattr(tables.task_specification(one), 'latency_target_ms', 0))
+        for one in tasks
+    )
+
+
+def _is_below_limit(
+    tables: state.State, started: Round, load: fleet.TargetLoad
+) -> bool:
+    limit = started.needs.per_target_limit
+    return not limit or _count_on(tables, started.step, load) < limit
+
+
+def _count_on(
+    tables: state.State, step: job.Step, load: fleet.TargetLoad
+) -> int:
+    return tables.step_loads.get(step.step, {}).get(load.target, 0)
+
+
+def _failed_on(task: job.Task) -> set[identity.TargetId]:
+    return {
+        ended.target
+        for ended in task.history
+        if ended.reason is job.EndReason.FAILED
+    }
+
+
+def _fullness(load: fleet.TargetLoad) -> tuple[int, str]:
+    return load.free.millicores, load.target
+
+
+def _task(tables: state.State, step: job.Step, number: int) -> job.Task:
+    return tables.tasks[identity.TaskId(f'{step.step}.{number}')]
+
+
+def _place(
+    tables: state.State,
+    started: Round,
+    task: job.Task,
+    load: fleet.TargetLoad,
+    number: int,
+) -> None:
+    ticket = started.tickets.get(load.target, '')
+    lifecycle.place(tables, task, load, number=number, ticket=ticket)
--- a/mulberrywalk/core/state.py
+++ b/mulberrywalk/core/state.py
@@ -93,6 +93,9 @@
     budgets: dict[str, int] = dataclasses.field(default_factory=dict)
     patches: dict[str, PatchRecord] = dataclasses.field(default_factory=dict)
     reservation: Reservation | None = None
+    steps: dict[identity.StepId, job.Step] = dataclasses.field(
+        default_factory=dict
+    )
     refusals: dict[tuple[str, str], Refusal] = dataclasses.field(
         default_factory=dict
     )
@@ -124,15 +127,38 @@
         default_factory=dict
     )
     preempting: int = 0
+    # The next occurrence of each job: when it is due, and the job.
+    due: SortedList = dataclasses.field(default_factory=SortedList)
+    # Live attempts of each step by target.
+    step_loads: dict[
+        identity.StepId, collections.Counter[identity.TargetId]
+    ] = dataclasses.field(default_factory=dict)
+    # Accepted jobs of each queue of which nothing has started.
+    pending: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    # The target that was last known at an address.
+    addresses: dict[str, identity.TargetId] = dataclasses.field(
+        default_factory=dict
+    )
     effects: list[effect.Effect] = dataclasses.field(default_factory=list)
 
     def specification(self, task: job.Task) -> job.Specification:
         """Return the specification of a task's job."""
         return self.jobs[task.job].specification
 
-    def task_specification(self, task: job.Task) -> job.TaskSpecification:
+    def task_specification(
+        self, task: job.Task
+    ) -> job.TaskSpecification | job.StepSpecification:
         """Return what a task needs."""
-        return self.specification(task).tasks[task.number]
+        specification = self.specification(task)
+        if specification.kind is job.Kind.WORKFLOW:
+            return specification.steps[task.step]
+        return specification.tasks[task.number]
+
+    def step_specification(self, step: job.Step) -> job.StepSpecification:
+        """Return what each task of a step needs."""
+        return self.jobs[step.job].specification.steps[step.number]
 
     def demand(self, task: job.Task) -> resource.Resources:
         """Return what a task is placed with: declared, or seen in use."""
@@ -162,6 +188,7 @@
     )
     if attempt.stopping is job.StopReason.PREEMPTED:
         state.preempting += 1
+    _count_of_step(state, task, attempt, 1)
     _account(state, attempt, specification, attempt.held)
 
 
@@ -177,6 +204,7 @@
     )
     if attempt.stopping is job.StopReason.PREEMPTED:
         state.preempting -= 1
+    _count_of_step(state, task, attempt, -1)
     _account(
         state,
         attempt,
@@ -196,6 +224,20 @@
     add_attempt(state, changed)
 
 
+def _count_of_step(
+    state: State, task: job.Task, attempt: job.Attempt, change: int
+) -> None:
+    name = task.step_id()
+    if name not in state.steps:
+        return
+    loads = state.step_loads.setdefault(name, collections.Counter())
+    loads[attempt.target] += change
+    if not loads[attempt.target]:
+        loads.pop(attempt.target)
+    if not loads:
+        state.step_loads.pop(name)
+
+
 def _account(
     state: State,
     attempt: job.Attempt,
--- a/mulberrywalk/core/target.py
+++ b/mulberrywalk/core/target.py
@@ -23,7 +23,10 @@
 
 
 class Target(msgspec.Struct, frozen=True, gc=False):
-    """An instance that runs tasks; session is the one that takes new work."""
+    """An instance that runs tasks; session is the one that takes new work.
+
+    address is where a target is called, empty for one that dials in.
+    """
 
     target: identity.TargetId
     data_centre: identity.DataCentre
@@ -32,6 +35,9 @@
     session: identity.SessionId | None
     is_leaving: bool = False
     health: Health = Health()
+    pool: identity.Pool = identity.Pool('')
+    labels: tuple[str, ...] = ()
+    address: str = ''
 
 
 class Session(msgspec.Struct, frozen=True, gc=False):
@@ -41,3 +47,4 @@
     target: identity.TargetId
     nonce: str
     opened_at: int
+    born_at: int = 0
--- a/mulberrywalk/core/waiting.py
+++ b/mulberrywalk/core/waiting.py
@@ -24,12 +24,12 @@
 
 
 class Position(NamedTuple):
-    """Where a task stands in its queue."""
+    """Where a task, or a step for all of its tasks, stands in its queue."""
 
-    submitted_at: int
+    order: int
     sequence: int
     number: int
-    task: identity.TaskId
+    task: str
 
 
 @dataclasses.dataclass(slots=True)
@@ -37,7 +37,8 @@
     """All waiting tasks.
 
     delayed holds the tasks that wait for a retry time, aside those that fit
-    on no target that is known, however empty.
+    on no target that is known, however empty. steps holds the numbers of the
+    waiting tasks of each step that stands in a queue.
     """
 
     queues: dict[QueueKey, SortedList] = dataclasses.field(default_factory=dict)
@@ -46,6 +47,11 @@
         default_factory=dict
     )
     counts: dict[QueueKey, int] = dataclasses.field(default_factory=dict)
+    steps: dict[identity.StepId, SortedList] = dataclasses.field(
+        default_factory=dict
+    )
+    # Steps of which nothing more can be placed in the present pass.
+    stuck: set[str] = dataclasses.field(default_factory=set)
 
     def add(self, key: QueueKey, position: Position) -> None:
         """Let a task wait in its queue."""
@@ -65,6 +71,31 @@
         if not queue:
             self.queues.pop(key)
 
+    def add_of_step(
+        self, key: QueueKey, position: Position, number: int
+    ) -> None:
+        """Let a task of a step wait; the step stands in the queue for it."""
+        step = identity.StepId(position.task)
+        numbers = self.steps.get(step)
+        if numbers is None:
+            numbers = SortedList()
+            self.steps[step] = numbers
+            self.add(key, position)
+        numbers.add(number)
+
+    def discard_of_step(
+        self, key: QueueKey, position: Position, number: int
+    ) -> None:
+        """Take a task of a step out, and the step with its last one."""
+        step = identity.StepId(position.task)
+        numbers = self.steps.get(step)
+        if numbers is None:
+            return
+        numbers.discard(number)
+        if not numbers:
+            self.steps.pop(step)
+            self.discard(key, position)
+
     def heads(self, key: QueueKey, limit: int) -> list[Position]:
         """Return the first positions of a queue."""
         queue = self.queues.get(key)
@@ -90,8 +121,3 @@
 def queue_key(urgency: job.Urgency, team: str) -> QueueKey:
     """Return the queue of an urgency and a team."""
     return QueueKey(job.rank(urgency), team)
-
-
-def sequence_number(identifier: identity.JobId) -> int:
-    """Return the number within a job identifier."""
-    return int(identifier[1:])
--- /dev/null
+++ b/mulberrywalk/core/workflow.py
@@ -0,0 +1,383 @@
+"""Steps of a workflow: when their tasks may run, and what their ends mean.
+
+The load that this answers: jobs of several steps, some of which wait for
+others, run again by a calendar, or last until they are cancelled.
+"""
+
+from __future__ import annotations
+
+import functools
+import itertools
+
+import msgspec
+
+from . import event, identity, job, lifecycle, retry, state
+
+_PERCENT = 100
+_US_PER_MS = 1000
+# An answer of the adviser on so many targets belongs to each step's chain.
+_ADVISED_TARGETS = 30
+_RESTART_MS = 200
+_LONGEST_RESTART_MS = 1600
+_FREE_FAILURES = 1
+
+# Ends after which every member of a gang has to be run again.
+_GANG_ENDS = frozenset(
+    (
+        job.EndReason.FAILED,
+        job.EndReason.NEVER_STARTED,
+        job.EndReason.SESSION_LOST,
+        job.EndReason.LEASE_LAPSED,
+        job.EndReason.GANG_INCOMPLETE,
+    )
+)
+
+
+def find_fault(specification: job.Specification) -> str:
+    """Return why the shape of a job is invalid, or nothing."""
+    is_workflow = specification.kind is job.Kind.WORKFLOW
+    if is_workflow and (specification.tasks or not specification.steps):
+        return 'a workflow has steps and no tasks'
+    if not is_workflow and (specification.steps or not specification.tasks):
+        return 'only a workflow has steps, every other kind has tasks'
+    if is_workflow and not specification.is_idempotent:
+        return 'a workflow is idempotent'
+    if specification.count_tasks() > job.MAX_TASKS:
+        return f'a job has at most {job.MAX_TASKS} tasks'
+    for number, step in enumerate(specification.steps):
+        if any(earlier >= number or earlier < 0 for earlier in step.after):
+            return f'step {number} comes after one that is not before it'
+        if step.is_gang and step.is_lasting:
+            return f'step {number} is a gang that lasts'
+    return ''
+
+
+def begin(tables: state.State, record: job.Job) -> None:
+    """Release the first occurrence of a job, or schedule it."""
+    schedule(tables, record)
+    release_due(tables)
+
+
+def release_due(tables: state.State) -> None:
+    """Release the occurrences whose time has come."""
+    while tables.due and tables.due[0][0] <= tables.time:
+        _, name = tables.due.pop(0)
+        record = tables.jobs[name]
+        _release(tables, record)
+        schedule(tables, tables.jobs[name])
+
+
+def drop_occurrences(tables: state.State, name: identity.JobId) -> None:
+    """Give up the occurrences of a job that were not released."""
+    record = tables.jobs[name]
+    specification = record.specification
+    if specification.kind is not job.Kind.WORKFLOW or not record.unfinished:
+        return
+    left = specification.count_occurrences() - record.released
+    tables.due.discard((_due_at(record, record.released), name))
+    unfinished = record.unfinished - left * specification.count_tasks()
+    record = msgspec.structs.replace(record, unfinished=unfinished)
+    tables.jobs[name] = record
+    if left and not unfinished:
+        lifecycle.finish_job(tables, record)
+
+
+def schedule(tables: state.State, record: job.Job) -> None:
+    """Note when the next occurrence of a job is due, if there is one."""
+    is_ended = record.is_cancelled or record.is_abandoned
+    occurrences = record.specification.count_occurrences()
+    if not is_ended and record.released < occurrences:
+        due_at = _due_at(record, record.released)
+        tables.due.add((due_at, record.job))
+
+
+def steps_of(record: job.Job) -> list[identity.StepId]:
+    """Return the steps of a job that exist so far."""
+    return [
+        job.step_id(record.job, occurrence, number)
+        for occurrence in range(record.released)
+        for number, _ in enumerate(record.specification.steps)
+    ]
+
+
+def tasks_of(tables: state.State, record: job.Job) -> list[job.Task]:
+    """Return the tasks of a job that exist so far, in order."""
+    return [
+        task
+        for step in steps_of(record)
+        for task in members_of(tables, tables.steps[step])
+    ]
+
+
+def members_of(tables: state.State, step: job.Step) -> list[job.Task]:
+    """Return the tasks of a step in order."""
+    count = tables.step_specification(step).count
+    return [tables.tasks[_task_id(step.step, index)] for index in range(count)]
+
+
+def end_attempt(
+    tables: state.State,
+    task: job.Task,
+    attempt: job.Attempt,
+    ended: event.AttemptEnd,
+) -> None:
+    """Decide what follows the end of an attempt of a workflow's task."""
+    record = tables.jobs[task.job]
+    step = tables.steps[task.step_id()]
+    needs = tables.step_specification(step)
+    if _is_completed(needs, step, attempt, ended.reason):
+        _complete(tables, task, attempt, needs)
+    elif record.is_cancelled or record.is_abandoned:
+        lifecycle.finish(tables, task, job.TaskState.CANCELLED)
+    else:
+        _run_again(tables, task, attempt, ended)
+
+
+def chain_ms(specification: job.Specification, number: int) -> int:
+    """Return the longest chain of estimates from a step to the end, in ms."""
+    return _chains(specification)[number]
+
+
+def objective_ms(specification: job.Specification) -> int:
+    """Return in which time after its release a job should be done."""
+    longest = max(_chains(specification), default=0)
+    return (
+        longest * specification.slack_percent // _PERCENT
+        + specification.objective_ms
+    )
+
+
+def runs_of(tables: state.State, step: job.Step) -> int:
+    """Return the highest attempt number of any task of a step."""
+    numbers = (task.attempts for task in members_of(tables, step))
+    return max(itertools.chain(numbers, (0,)))
+
+
+@functools.lru_cache(maxsize=4096)
+def _chains(specification: job.Specification) -> tuple[int, ...]:
+    advised = 0
+    if specification.advice is not None:
+        per_target = specification.advice.per_target_us * _ADVISED_TARGETS
+        advised = specification.advice.decision_ms + per_target // _US_PER_MS
+    chains = [0] * len(specification.steps)
+    followers = [0] * len(specification.steps)
+    for number in reversed(range(len(specification.steps))):
+        step = specification.steps[number]
+        chains[number] = advised + step.estimate_ms + followers[number]
+        for earlier in step.after:
+            followers[earlier] = max(followers[earlier], chains[number])
+    return tuple(chains)
+
+
+def _due_at(record: job.Job, occurrence: int) -> int:
+    recurrence = record.specification.recurrence
+    if recurrence is None:
+        return record.submitted_at
+    return recurrence.first_at + occurrence * recurrence.interval_ms
+
+
+def _release(tables: state.State, record: job.Job) -> None:
+    occurrence = record.released
+    specification = record.specification
+    tables.jobs[record.job] = msgspec.structs.replace(
+        record, released=occurrence + 1
+    )
+    due_at = max(_due_at(record, occurrence), record.submitted_at)
+    latest = due_at + objective_ms(specification)
+    for number, needs in enumerate(specification.steps):
+        step = job.Step(
+            step=job.step_id(record.job, occurrence, number),
+            job=record.job,
+            occurrence=occurrence,
+            number=number,
+            sequence=record.sequence,
+            order=latest - chain_ms(specification, number),
+            blocked_by=len(set(needs.after)),
+            unfinished=needs.count,
+        )
+        tables.steps[step.step] = step
+        for index in range(needs.count):
+            _add_task(tables, step, index)
+
+
+def _add_task(tables: state.State, step: job.Step, index: int) -> None:
+    task = job.Task(
+        task=_task_id(step.step, index),
+        job=step.job,
+        number=index,
+        state=job.TaskState.BLOCKED,
+        submitted_at=tables.time,
+        waiting_since=tables.time,
+        occurrence=step.occurrence,
+        step=step.number,
+        sequence=step.sequence,
+    )
+    if step.blocked_by:
+        tables.tasks[task.task] = task
+    else:
+        _let_wait(tables, task)
+
+
+def _let_wait(
+    tables: state.State, task: job.Task, not_before: int = 0
+) -> None:
+    lifecycle.wait(
+        tables,
+        msgspec.structs.replace(
+            task,
+            state=job.TaskState.WAITING,
+            waiting_since=tables.time,
+            not_before=not_before,
+        ),
+    )
+
+
+def _is_completed(
+    needs: job.StepSpecification,
+    step: job.Step,
+    attempt: job.Attempt,
+    reason: job.EndReason,
+) -> bool:
+    if needs.is_lasting:
+        return False
+    if reason is job.EndReason.COMPLETED:
+        return True
+    # One completed member of a gang's run stands for all of them.
+    return needs.is_gang and step.completed_run == attempt.number
+
+
+def _complete(
+    tables: state.State,
+    task: job.Task,
+    attempt: job.Attempt,
+    needs: job.StepSpecification,
+) -> None:
+    step = tables.steps[task.step_id()]
+    step = msgspec.structs.replace(step, unfinished=step.unfinished - 1)
+    if needs.is_gang:
+        step = msgspec.structs.replace(step, completed_run=attempt.number)
+    tables.steps[step.step] = step
+    lifecycle.finish(tables, task, job.TaskState.COMPLETED)
+    if step.unfinished == 0:
+        _unblock(tables, step)
+
+
+def _unblock(tables: state.State, done: job.Step) -> None:
+    record = tables.jobs[done.job]
+    if record.is_cancelled or record.is_abandoned:
+        return
+    for number, needs in enumerate(record.specification.steps):
+        if done.number not in needs.after:
+            continue
+        name = job.step_id(done.job, done.occurrence, number)
+        step = tables.steps[name]
+        step = msgspec.structs.replace(step, blocked_by=step.blocked_by - 1)
+        tables.steps[name] = step
+        if step.blocked_by == 0:
+            for task in members_of(tables, step):
+                _let_wait(tables, task)
+
+
+def _run_again(
+    tables: state.State,
+    task: job.Task,
+    attempt: job.Attempt,
+    ended: event.AttemptEnd,
+) -> None:
+    step = tables.steps[task.step_id()]
+    needs = tables.step_specification(step)
+    if ended.reason is job.EndReason.NEVER_STARTED:
+        _drop_ticket(tables, step, attempt)
+    if ended.reason is job.EndReason.FAILED:
+        task = msgspec.structs.replace(task, failures=task.failures + 1)
+    if needs.is_gang:
+        # The record is in place before the other members are looked at.
+        tables.tasks[task.task] = task
+        _break_gang(tables, task, attempt, ended.reason)
+    if _is_exhausted(tables, task):
+        lifecycle.finish(tables, task, job.TaskState.FAILED)
+        _abandon(tables, task.job)
+        return
+    _let_wait(tables, task, _restart_at(tables, task, ended.reason))
+
+
+def _restart_at(
+    tables: state.State, task: job.Task, reason: job.EndReason
+) -> int:
+    if reason is job.EndReason.NEVER_STARTED:
+        return tables.time + _RESTART_MS
+    if reason is not job.EndReason.FAILED or task.failures <= _FREE_FAILURES:
+        return 0
+    longest = _LONGEST_RESTART_MS // _RESTART_MS
+    doublings = min(task.failures - _FREE_FAILURES - 1, longest)
+    return tables.time + _RESTART_MS * min(1 << doublings, longest)
+
+
+def _is_exhausted(tables: state.State, task: job.Task) -> bool:
+    step = tables.steps[task.step_id()]
+    needs = tables.step_specification(step)
+    if needs.is_lasting:
+        return False
+    failures = step.failures if needs.is_gang else task.failures
+    return failures >= retry.most_failures(tables, task)
+
+
+def _break_gang(
+    tables: state.State,
+    task: job.Task,
+    attempt: job.Attempt,
+    reason: job.EndReason,
+) -> None:
+    """Stop the other members of a gang's run, which cannot go on alone."""
+    step = tables.steps[task.step_id()]
+    if reason is job.EndReason.FAILED and step.failed_run != attempt.number:
+        step = msgspec.structs.replace(
+            step, failures=step.failures + 1, failed_run=attempt.number
+        )
+        tables.steps[step.step] = step
+    if reason not in _GANG_ENDS:
+        return
+    live = [
+        tables.attempts[member.attempt]
+        for member in members_of(tables, step)
+        if member.attempt is not None
+    ]
+    for other in live:
+        lifecycle.stop(tables, other, job.StopReason.GANG_BROKEN)
+
+
+def _drop_ticket(
+    tables: state.State, step: job.Step, attempt: job.Attempt
+) -> None:
+    kept = tuple(
+        ticket for ticket in step.tickets if ticket.target != attempt.target
+    )
+    if len(kept) < len(step.tickets):
+        tables.steps[step.step] = msgspec.structs.replace(step, tickets=kept)
+
+
+def _abandon(tables: state.State, name: identity.JobId) -> None:
+    """End what is left of a job that cannot be completed any more."""
+    record = tables.jobs[name]
+    if record.is_abandoned:
+        return
+    record = msgspec.structs.replace(record, is_abandoned=True)
+    tables.jobs[name] = record
+    for task in tasks_of(tables, record):
+        _abandon_task(tables, task)
+    drop_occurrences(tables, name)
+
+
+def _abandon_task(tables: state.State, task: job.Task) -> None:
+    if task.state is job.TaskState.WAITING:
+        lifecycle.stop_waiting(tables, task)
+        lifecycle.finish(tables, task, job.TaskState.CANCELLED)
+    elif task.state is job.TaskState.BLOCKED:
+        lifecycle.finish(tables, task, job.TaskState.CANCELLED)
+    elif task.attempt is not None:
+        attempt = tables.attempts[task.attempt]
+        lifecycle.stop(tables, attempt, job.StopReason.ABANDONED)
+
+
+def _task_id(step: identity.StepId, index: int) -> identity.TaskId:
+    return identity.TaskId(f'{step}.{index}')
