--- a/mulberrywalk/core/admission.py
+++ b/mulberrywalk/core/admission.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from . import (
+    configuration,
     effect,
     event,
     identity,
@@ -35,6 +36,18 @@
     refused = tables.refusals.get(request)
     if refused is not None:
         return _refuse_again(refused, submitted.digest)
+    queue = tables.queues.get(specification.queue)
+    if specification.queue and queue is None:
+        # Not remembered: the queue may be there when it is asked for again.
+        return outcome.NotRun(
+            outcome.RefusalReason.UNKNOWN_QUEUE,
+            f'no queue {specification.queue}',
+        )
+    if queue is not None:
+        specification = _apply_queue(specification, queue)
+        submitted = msgspec.structs.replace(
+            submitted, specification=specification
+        )
     refusal = _refuse(tables, specification)
     if refusal is not None:
         return _remember_refusal(tables, submitted, refusal)
@@ -125,6 +138,21 @@
     )
 
 
+def _apply_queue(
+    specification: job.Specification, queue: configuration.Queue
+) -> job.Specification:
+    """Return the job with the terms of its queue, as they are now."""
+    return msgspec.structs.replace(
+        specification,
+        pool=queue.pool,
+        urgency=queue.urgency,
+        max_failures=queue.max_failures,
+        objective_ms=queue.objective_ms,
+        slack_percent=queue.slack_percent,
+        advice=queue.advice,
+    )
+
+
 def _find_fault(
     tables: state.State, specification: job.Specification
 ) -> outcome.NotRun | None:
@@ -135,8 +163,11 @@
             f'there is a job {specification.job} already',
         )
     fault = workflow.find_fault(specification)
-    if fault:
-        return outcome.NotRun(outcome.RefusalReason.INVALID_JOB, fault)
+    if fault is not None:
+        return outcome.NotRun(
+            outcome.RefusalReason.INVALID_JOB,
+            f'{fault.field}: {fault.message}',
+        )
     return None
 
 
--- a/mulberrywalk/core/amendment.py
+++ b/mulberrywalk/core/amendment.py
@@ -48,6 +48,7 @@
     tables.configuration = configuration.Configuration(
         current.version + 1, current.document, replaced.routing
     )
+    tables.queues = {one.name: one for one in replaced.routing.queues}
     tables.emit(effect.PublishConfiguration(current.version + 1))
     tables.emit(
         effect.Trace(
--- a/mulberrywalk/core/event.py
+++ b/mulberrywalk/core/event.py
@@ -6,7 +6,9 @@
 
 import msgspec
 
-from . import configuration, identity, job, resource
+from . import configuration, identity, job, resource, target
+
+_LEASE_MS = target.LEASE_MS
 
 
 class JobSubmitted(msgspec.Struct, frozen=True, tag=True):
@@ -43,6 +45,7 @@
     labels: tuple[str, ...] = ()
     address: str = ''
     born_at: int = 0
+    lease_ms: int = _LEASE_MS
 
 
 class SessionOpened(msgspec.Struct, frozen=True, tag=True):
@@ -92,6 +95,13 @@
     memory_bytes: int
 
 
+class AttemptCheckpoint(msgspec.Struct, frozen=True):
+    """What a running attempt has saved last."""
+
+    attempt: identity.AttemptId
+    checkpoint: str
+
+
 class ReportReceived(msgspec.Struct, frozen=True, tag=True):
     """A target reports starts, ends and usage of its session."""
 
@@ -100,6 +110,7 @@
     started: tuple[AttemptStart, ...] = ()
     ended: tuple[AttemptEnd, ...] = ()
     usage: tuple[AttemptUsage, ...] = ()
+    saved: tuple[AttemptCheckpoint, ...] = ()
 
 
 class ConfigurationPatched(msgspec.Struct, frozen=True, tag=True):
--- a/mulberrywalk/core/job.py
+++ b/mulberrywalk/core/job.py
@@ -4,7 +4,7 @@
 
 import enum
 from types import MappingProxyType
-from typing import Annotated
+from typing import Annotated, NamedTuple
 
 import msgspec
 
@@ -374,6 +374,13 @@
     is_abandoned: bool = False
 
 
+class Fault(NamedTuple):
+    """Why a specification is invalid, and in which field."""
+
+    field: str
+    message: str
+
+
 def answer_limit(specification: Specification) -> int:
     """Return how many characters the answer of each task may have.
 
--- a/mulberrywalk/core/lifecycle.py
+++ b/mulberrywalk/core/lifecycle.py
@@ -141,6 +141,15 @@
     trace(tables, 'started', attempt)
 
 
+def save(tables: state.State, saved: event.AttemptCheckpoint) -> None:
+    """Keep what a running attempt has saved, for the next one."""
+    task = tables.tasks[tables.attempts[saved.attempt].task]
+    if task.state not in job.FINAL_TASK_STATES:
+        tables.tasks[task.task] = msgspec.structs.replace(
+            task, checkpoint=saved.checkpoint
+        )
+
+
 def stop(
     tables: state.State, attempt: job.Attempt, reason: job.StopReason
 ) -> None:
--- a/mulberrywalk/core/session.py
+++ b/mulberrywalk/core/session.py
@@ -44,6 +44,7 @@
         nonce=announcement.nonce,
         opened_at=tables.time,
         born_at=announcement.born_at,
+        lease_ms=announcement.lease_ms,
     )
     tables.sessions[session.session] = session
     tables.session_counts[session.target] += 1
@@ -115,6 +116,9 @@
     for started in received.started:
         if _is_of_session(tables, started.attempt, received.session):
             lifecycle.start(tables, started)
+    for saved in received.saved:
+        if _is_of_session(tables, saved.attempt, received.session):
+            lifecycle.save(tables, saved)
     for ended in received.ended:
         if _is_of_session(tables, ended.attempt, received.session):
             lifecycle.end(tables, ended)
--- a/mulberrywalk/core/staging.py
+++ b/mulberrywalk/core/staging.py
@@ -189,7 +189,7 @@
     if not fitting:
         return None
     failed_on = _failed_on(task)
-    present = tables.step_loads.get(started.step.step, {})
+    present = tables.step_loads.get(started.step.step, ())
     racks = {tables.fleet.loads[name].rack for name in present}
     needs = started.needs
 
@@ -238,7 +238,8 @@
 def _count_on(
     tables: state.State, step: job.Step, load: fleet.TargetLoad
 ) -> int:
-    return tables.step_loads.get(step.step, {}).get(load.target, 0)
+    loads = tables.step_loads.get(step.step)
+    return loads[load.target] if loads else 0
 
 
 def _failed_on(task: job.Task) -> set[identity.TargetId]:
--- a/mulberrywalk/core/state.py
+++ b/mulberrywalk/core/state.py
@@ -9,6 +9,7 @@
 
 import collections
 import dataclasses
+from typing import TypeAlias
 
 import msgspec
 from sortedcontainers import SortedList
@@ -29,6 +30,8 @@
 # Longer than an entry keeps a submission under way.
 REFUSAL_KEPT_MS = 30_000
 
+Queues: TypeAlias = dict[str, configuration.Queue]
+
 
 class PatchRecord(msgspec.Struct, frozen=True):
     """The first answer to a patch: its version, or why it was refused."""
@@ -137,6 +140,10 @@
     pending: collections.Counter[str] = dataclasses.field(
         default_factory=collections.Counter
     )
+    # The queues of the routing in force, by name.
+    queues: Queues = dataclasses.field(
+        default_factory=dict
+    )
     # The target that was last known at an address.
     addresses: dict[str, identity.TargetId] = dataclasses.field(
         default_factory=dict
--- a/mulberrywalk/core/target.py
+++ b/mulberrywalk/core/target.py
@@ -48,3 +48,4 @@
     nonce: str
     opened_at: int
     born_at: int = 0
+    lease_ms: int = LEASE_MS
--- a/mulberrywalk/core/workflow.py
+++ b/mulberrywalk/core/workflow.py
@@ -33,23 +33,39 @@
 )
 
 
-def find_fault(specification: job.Specification) -> str:
-    """Return why the shape of a job is invalid, or nothing."""
-    is_workflow = specification.kind is job.Kind.WORKFLOW
-    if is_workflow and (specification.tasks or not specification.steps):
-        return 'a workflow has steps and no tasks'
-    if not is_workflow and (specification.steps or not specification.tasks):
-        return 'only a workflow has steps, every other kind has tasks'
-    if is_workflow and not specification.is_idempotent:
-        return 'a workflow is idempotent'
+def find_fault(specification: job.Specification) -> job.Fault | None:
+    """Return why the shape of a job is invalid, or None."""
+    if specification.kind is not job.Kind.WORKFLOW:
+        if specification.steps:
+            return job.Fault('steps', 'only a workflow has steps')
+        if not specification.tasks:
+            return job.Fault('tasks', 'a job has at least one task')
+        return None
+    if specification.tasks:
+        return job.Fault('tasks', 'a workflow has steps and no tasks')
+    if not specification.steps:
+        return job.Fault('steps', 'a workflow has at least one step')
+    if not specification.is_idempotent:
+        return job.Fault('idempotent', 'a workflow is idempotent')
     if specification.count_tasks() > job.MAX_TASKS:
-        return f'a job has at most {job.MAX_TASKS} tasks'
-    for number, step in enumerate(specification.steps):
-        if any(earlier >= number or earlier < 0 for earlier in step.after):
-            return f'step {number} comes after one that is not before it'
-        if step.is_gang and step.is_lasting:
-            return f'step {number} is a gang that lasts'
-    return ''
+        return job.Fault('steps', f'a job has at most {job.MAX_TASKS} tasks')
+    faults = (
+        _find_step_fault(number, step)
+        for number, step in enumerate(specification.steps)
+    )
+    return next((fault for fault in faults if fault is not None), None)
+
+
+def _find_step_fault(
+    number: int, step: job.StepSpecification
+) -> job.Fault | None:
+    if any(earlier not in range(number) for earlier in step.after):
+        return job.Fault(
+            f'steps[{number}].after', 'a step comes after earlier ones only'
+        )
+    if step.is_gang and step.is_lasting:
+        return job.Fault(f'steps[{number}].gang', 'a gang does not last')
+    return None
 
 
 def begin(tables: state.State, record: job.Job) -> None:
--- /dev/null
+++ b/mulberrywalk/entry/called.py
@@ -0,0 +1,528 @@
+"""Sessions of targets that are called, instead of dialling in.
+
+Orders go out as calls. What runs and what has ended is learned by looks,
+which also extend the lease. A call that got no answer may have been carried
+out, or may be later; only a look tells.
+"""
+
+from __future__ import annotations
+
+import abc
+import dataclasses
+import enum
+import itertools
+
+import anyio
+from anyio.abc import TaskGroup
+
+from ..core import event, identity, job
+from ..telemetry import clock, journal
+from ..transport import wire
+from . import pacing, session, upstream
+
+# A target's clock may be this much slow, in percent.
+_DRIFT_PERCENT = 2
+_WHOLE_PERCENT = 100
+_MS_PER_S = 1000
+# A start is sent only with so much of the lease left.
+_LEAST_LEASE_MS = 300
+_LOOK_MS = 1000
+_PACED_LOOK_MS = 400
+_UNANSWERED_S = 0.2
+_SETTLE_S = 0.3
+_GATHER_S = 0.004
+_READY_S = 1.5
+_REPORT_AGAIN_MS = 1000
+_CALLS_AT_ONCE = 16
+
+
+class Answer(enum.Enum):
+    """What a target said to an order."""
+
+    DONE = 'done'
+    # A later leader has given orders here.
+    FENCED = 'fenced'
+    # The attempt, or a later one of its task, has ended or was stopped here.
+    BARRED = 'barred'
+    # The lease that the order carried had run out when it arrived.
+    LATE = 'late'
+    NO_ROOM = 'no_room'
+    NO_TICKET = 'no_ticket'
+    UNWELL = 'unwell'
+    INVALID = 'invalid'
+    # The life that the order was meant for is not there any more.
+    GONE = 'gone'
+    # No answer: the order may have been carried out, or may be later.
+    NONE = 'none'
+
+
+# Answers after which the attempt is barred and then known not to run.
+_REFUSALS = frozenset(
+    (Answer.NO_ROOM, Answer.NO_TICKET, Answer.UNWELL, Answer.INVALID)
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Destination:
+    """Where a target is called, and in which life."""
+
+    target: identity.TargetId
+    address: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Running:
+    """An attempt that runs; gauge is the tail of its response times in ms.
+
+    The gauge of a task that serves no users is the processor that it uses.
+    """
+
+    attempt: identity.AttemptId
+    checkpoint: str
+    gauge: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ended:
+    """An attempt that has ended; number counts the ends of the life."""
+
+    number: int
+    attempt: identity.AttemptId
+    reason: job.EndReason
+    checkpoint: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Seen:
+    """What a look has shown; clock_ms is the target's own clock."""
+
+    clock_ms: int
+    born_at: int
+    running: tuple[Running, ...]
+    ended: tuple[Ended, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Glance:
+    """A look that is to be made.
+
+    until extends the lease to that time of the target's clock, None for not.
+    Ends up to acknowledged may be forgotten. wait_ms lets the answer wait for
+    an end.
+    """
+
+    term: int
+    until: int | None
+    acknowledged: int
+    wait_ms: int
+
+
+class TargetCaller(abc.ABC):
+    """Makes the calls to targets; each gives up by itself in time."""
+
+    @abc.abstractmethod
+    async def look(
+        self, destination: Destination, glance: Glance
+    ) -> Seen | Answer:
+        """Return what a look has shown, or why there is nothing."""
+
+    @abc.abstractmethod
+    async def start(
+        self,
+        destination: Destination,
+        command: wire.StartCommand,
+        until: int,
+        term: int,
+    ) -> Answer:
+        """Start an attempt under a lease until a time of the target."""
+
+    @abc.abstractmethod
+    async def stop(
+        self, destination: Destination, attempt: identity.AttemptId, term: int
+    ) -> Answer:
+        """Stop an attempt, and bar it where it was not started yet."""
+
+    @abc.abstractmethod
+    async def pace(
+        self,
+        destination: Destination,
+        attempt: identity.AttemptId,
+        percent: int,
+        term: int,
+    ) -> Answer:
+        """Let an attempt work at a share of its speed."""
+
+
+@dataclasses.dataclass(slots=True)
+class Lease:
+    """Until when a target may run what it was told to.
+
+    sampled_ms is a time of the target's clock that had passed at sampled_at
+    of the own one; granted_from is the own time from which the leader counts
+    the lease that it has granted.
+    """
+
+    length_ms: int
+    sampled_ms: int | None = None
+    sampled_at: int = 0
+    granted_from: int | None = None
+
+    def learn(self, clock_ms: int, received_at: int) -> None:
+        """Take a reading of the target's clock from an answer."""
+        self.sampled_ms = clock_ms
+        self.sampled_at = received_at
+
+    def until(self) -> int | None:
+        """Return the end of the lease by the target's clock, or None.
+
+        The clock may be slow and the answer may have been under way for
+        long: both make the lease end earlier than the leader counts.
+        """
+        if self.sampled_ms is None or self.granted_from is None:
+            return None
+        left = self.granted_from + self.length_ms - self.sampled_at
+        part = _WHOLE_PERCENT - _DRIFT_PERCENT
+        return self.sampled_ms + max(0, left) * part // _WHOLE_PERCENT
+
+    def left_ms(self, now: int) -> int:
+        """Return how much of the lease is left, zero for none."""
+        if self.sampled_ms is None or self.granted_from is None:
+            return 0
+        return max(0, self.granted_from + self.length_ms - now)
+
+
+class CalledTarget(session.TargetSession):
+    """The session of one target that this entry calls."""
+
+    def __init__(
+        self,
+        assigned: wire.Assignment,
+        caller: TargetCaller,
+        leader: upstream.Upstream,
+        sessions: session.Sessions,
+        lines: journal.Journal,
+    ) -> None:
+        """Prepare; run makes the looks."""
+        self.assigned = assigned
+        self._destination = Destination(assigned.target, assigned.address)
+        self._caller = caller
+        self._leader = leader
+        self._sessions = sessions
+        self._journal = lines
+        self._lease = Lease(assigned.lease_ms)
+        self._term = assigned.term
+        self._ready = anyio.Event()
+        self._settled = anyio.Event()
+        self._limit = anyio.CapacityLimiter(_CALLS_AT_ONCE)
+        self._group: TaskGroup | None = None
+        self._confirmed: set[identity.AttemptId] = set()
+        self._checkpoints: dict[identity.AttemptId, str] = {}
+        self._shares = {one.attempt: one for one in assigned.shares}
+        # Orders that were answered as barred: reported unless a later look
+        # shows the attempt.
+        self._barred: dict[identity.AttemptId, str] = {}
+        self._numbers: dict[identity.AttemptId, int] = {}
+        self._reported_at: dict[identity.AttemptId, int] = {}
+        self._acknowledged = 0
+        self._done: set[int] = set()
+        self._pacer = pacing.Pacer()
+        self._paced: dict[identity.AttemptId, int] = {}
+
+    async def run(self) -> None:
+        """Look at the target until the session is over."""
+        async with anyio.create_task_group() as group:
+            self._group = group
+            await self._look_on()
+
+    def command(self, commands: wire.Commands) -> None:
+        """Carry out what the leader wants, each order by a call."""
+        if self._group is None or commands.term < self._term:
+            return
+        self._term = commands.term
+        for start in commands.start:
+            self._shares[start.attempt] = wire.Share(
+                start.attempt, start.latency_target_ms, start.is_filler
+            )
+            self._group.start_soon(self._start, start, commands.term)
+        for stop in commands.stop:
+            self._group.start_soon(self._stop, stop.attempt, commands.term)
+        self._acknowledge(commands.acknowledge)
+
+    def renew(self, sequence: int) -> None:
+        """Count the lease from when the answered renewal was asked for."""
+        self._lease.granted_from = max(
+            sequence, self._lease.granted_from or sequence
+        )
+        self._ready.set()
+
+    def end(self) -> None:
+        """Make no more calls."""
+        self._sessions.remove(self.assigned.session, self)
+        if self._group is not None:
+            self._group.cancel_scope.cancel()
+
+    def move_away(self) -> None:
+        """Go on until the leader has given the target to another entry."""
+
+    async def _look_on(self) -> None:
+        wait_ms = 0
+        while True:
+            is_seen = await self._look(wait_ms)
+            if not is_seen:
+                await anyio.sleep(_UNANSWERED_S)
+            elif self._numbers:
+                await self._settle()
+            wait_ms = self._next_wait()
+
+    def _next_wait(self) -> int:
+        if self._lease.granted_from is None:
+            return 0
+        is_shared = any(one.is_filler for one in self._shares.values())
+        return _PACED_LOOK_MS if is_shared else _LOOK_MS
+
+    async def _settle(self) -> None:
+        """Wait until the ends that were seen are committed, or for long."""
+        self._settled = anyio.Event()
+        with anyio.move_on_after(_SETTLE_S):
+            await self._settled.wait()
+        await anyio.sleep(_GATHER_S)
+
+    async def _look(self, wait_ms: int) -> bool:
+        barred = dict(self._barred)
+        sent_at = clock.monotonic_ms()
+        glance = Glance(
+            self._term, self._lease.until(), self._acknowledged, wait_ms
+        )
+        seen = await self._caller.look(self._destination, glance)
+        if isinstance(seen, Answer):
+            self._note(f'look: {seen.value}')
+            return False
+        if seen.born_at != self.assigned.born_at:
+            self._note(f'look: life of {seen.born_at}')
+            return False
+        self._lease.learn(seen.clock_ms, clock.monotonic_ms())
+        self._sessions.ask_renewal(self.assigned.session, sent_at)
+        self._report(seen, barred)
+        self._pace(seen)
+        return True
+
+    def _report(
+        self, seen: Seen, barred: dict[identity.AttemptId, str]
+    ) -> None:
+        now = clock.monotonic_ms()
+        started = self._find_started(seen)
+        ended = [
+            event.AttemptEnd(
+                one.attempt, one.reason, now, checkpoint=one.checkpoint
+            )
+            for one in seen.ended
+            if self._is_due(one, now)
+        ]
+        ended.extend(self._find_barred(seen, barred, now))
+        saved = self._find_saved(seen)
+        if started or ended or saved:
+            self._leader.send(
+                wire.Report(
+                    self.assigned.session,
+                    tuple(event.AttemptStart(one, now) for one in started),
+                    tuple(ended),
+                    saved=tuple(saved),
+                )
+            )
+
+    def _find_started(self, seen: Seen) -> list[identity.AttemptId]:
+        names = [one.attempt for one in seen.running]
+        started = [one for one in names if one not in self._confirmed]
+        self._confirmed = set(names)
+        return started
+
+    def _is_due(self, ended: Ended, now: int) -> bool:
+        self._numbers[ended.attempt] = ended.number
+        self._shares.pop(ended.attempt, None)
+        reported_at = self._reported_at.get(ended.attempt)
+        if reported_at is not None and now - reported_at < _REPORT_AGAIN_MS:
+            return False
+        self._reported_at[ended.attempt] = now
+        return True
+
+    def _find_barred(
+        self, seen: Seen, barred: dict[identity.AttemptId, str], now: int
+    ) -> list[event.AttemptEnd]:
+        """Return the ends of what was barred and is nowhere to be seen."""
+        present = {one.attempt for one in seen.running}
+        present.update(one.attempt for one in seen.ended)
+        absent = [one for one in barred if one not in present]
+        for name in barred:
+            self._barred.pop(name, None)
+        for name in absent:
+            self._shares.pop(name, None)
+        return [
+            event.AttemptEnd(
+                name, job.EndReason.NEVER_STARTED, now, detail=barred[name]
+            )
+            for name in absent
+        ]
+
+    def _find_saved(self, seen: Seen) -> list[event.AttemptCheckpoint]:
+        fresh = [
+            event.AttemptCheckpoint(one.attempt, one.checkpoint)
+            for one in seen.running
+            if one.checkpoint
+            and self._checkpoints.get(one.attempt) != one.checkpoint
+        ]
+        self._checkpoints = {
+            one.attempt: one.checkpoint for one in seen.running
+        }
+        return fresh
+
+    def _acknowledge(self, attempts: tuple[identity.AttemptId, ...]) -> None:
+        """Let ends be forgotten that are committed, in their order."""
+        for attempt in attempts:
+            number = self._numbers.pop(attempt, None)
+            self._reported_at.pop(attempt, None)
+            if number is not None:
+                self._done.add(number)
+        for number in itertools.count(self._acknowledged + 1):
+            if number not in self._done:
+                break
+            self._done.discard(number)
+            self._acknowledged = number
+        if attempts and not self._numbers:
+            self._settled.set()
+
+    async def _start(self, command: wire.StartCommand, term: int) -> None:
+        with anyio.move_on_after(_READY_S):
+            await self._ready.wait()
+        until = self._lease.until()
+        left_ms = self._lease.left_ms(clock.monotonic_ms())
+        if until is None or left_ms < _LEAST_LEASE_MS:
+            # The leader sends the start again.
+            self._note('start held: no lease', command.attempt)
+            return
+        async with self._limit:
+            answer = await self._caller.start(
+                self._destination, command, until, term
+            )
+        self._note(f'start: {answer.value}', command.attempt)
+        if answer is Answer.DONE:
+            self._confirm(command.attempt)
+        elif answer is Answer.BARRED:
+            self._bar(command.attempt, answer)
+        elif answer in _REFUSALS:
+            await self._refuse(command.attempt, answer, term)
+
+    def _confirm(self, attempt: identity.AttemptId) -> None:
+        self._confirmed.add(attempt)
+        started = event.AttemptStart(attempt, clock.monotonic_ms())
+        self._leader.send(
+            wire.Report(self.assigned.session, started=(started,))
+        )
+
+    async def _refuse(
+        self, attempt: identity.AttemptId, answer: Answer, term: int
+    ) -> None:
+        """Bar a refused attempt: a copy of its start may still arrive."""
+        async with self._limit:
+            stopped = await self._caller.stop(
+                self._destination, attempt, term
+            )
+        if stopped in {Answer.DONE, Answer.BARRED}:
+            self._bar(attempt, answer)
+
+    async def _stop(self, attempt: identity.AttemptId, term: int) -> None:
+        async with self._limit:
+            answer = await self._caller.stop(self._destination, attempt, term)
+        self._note(f'stop: {answer.value}', attempt)
+        if answer in {Answer.DONE, Answer.BARRED}:
+            self._bar(attempt, answer)
+
+    def _bar(self, attempt: identity.AttemptId, answer: Answer) -> None:
+        """Let a look tell whether the attempt is there after all."""
+        if not self._barred and self._group is not None:
+            self._group.start_soon(self._look_soon)
+        self._barred[attempt] = answer.value
+
+    async def _look_soon(self) -> None:
+        await anyio.sleep(_GATHER_S)
+        await self._look(0)
+
+    def _pace(self, seen: Seen) -> None:
+        fillers = [
+            one.attempt
+            for one in seen.running
+            if self._is_filler(one.attempt)
+        ]
+        readings = [
+            pacing.Reading(share.latency_target_ms, one.gauge)
+            for one in seen.running
+            if (share := self._shares.get(one.attempt)) is not None
+            and share.latency_target_ms
+        ]
+        percent = self._pacer.decide(readings, clock.monotonic_ms())
+        for attempt in fillers:
+            if self._paced.get(attempt, pacing.WHOLE) == percent:
+                continue
+            self._paced[attempt] = percent
+            if self._group is not None:
+                self._group.start_soon(self._pace_one, attempt, percent)
+
+    def _is_filler(self, attempt: identity.AttemptId) -> bool:
+        share = self._shares.get(attempt)
+        return share is not None and share.is_filler
+
+    async def _pace_one(
+        self, attempt: identity.AttemptId, percent: int
+    ) -> None:
+        async with self._limit:
+            answer = await self._caller.pace(
+                self._destination, attempt, percent, self._term
+            )
+        if answer is not Answer.DONE:
+            self._paced.pop(attempt, None)
+
+    def _note(self, what: str, attempt: str = '') -> None:
+        self._journal.record(
+            what,
+            attempt=attempt,
+            job=attempt.split('.')[0],
+            target=self._destination.target,
+        )
+
+
+class CalledTargets:
+    """The targets that the leader has assigned to this entry."""
+
+    def __init__(
+        self,
+        caller: TargetCaller,
+        leader: upstream.Upstream,
+        sessions: session.Sessions,
+        lines: journal.Journal,
+    ) -> None:
+        """Take over assignments from the leader."""
+        self._caller = caller
+        self._leader = leader
+        self._sessions = sessions
+        self._journal = lines
+        self._group: TaskGroup | None = None
+        leader.assign = self.take
+
+    async def run(self) -> None:
+        """Keep the sessions going for ever."""
+        async with anyio.create_task_group() as group:
+            self._group = group
+            await anyio.sleep_forever()
+
+    def take(self, assigned: wire.Assignment) -> None:
+        """Call the target of a session from now on."""
+        if self._group is None:
+            return
+        called = CalledTarget(
+            assigned,
+            self._caller,
+            self._leader,
+            self._sessions,
+            self._journal,
+        )
+        self._sessions.add(assigned.session, called)
+        self._group.start_soon(called.run)
--- a/mulberrywalk/entry/caller.py
+++ b/mulberrywalk/entry/caller.py
@@ -11,7 +11,7 @@
 import msgspec
 from starlette import applications, requests, responses, routing, websockets
 
-from ..core import identity, job
+from ..core import identity, job, workflow
 from ..telemetry import journal, metric
 from ..transport import channel, codec, wire
 from . import answer, connection, upstream
@@ -100,6 +100,10 @@
         specification = decode(encoded, job.Specification)
         if isinstance(specification, answer.InputError):
             return answer.respond_error(specification)
+        fault = workflow.find_fault(specification)
+        if fault is not None:
+            wrong = answer.InputError(_CLIENT_ERROR, *fault)
+            return answer.respond_error(wrong)
         if not self._leader.is_current():
             return answer.respond_not_ready(
                 'the configuration could not be confirmed'
--- a/mulberrywalk/entry/caller_test.py
+++ b/mulberrywalk/entry/caller_test.py
@@ -7,7 +7,7 @@
 from starlette import testclient
 
 from ..telemetry import cost, journal, metric
-from . import answer, caller, connection, upstream
+from . import answer, caller, connection, session, upstream
 
 JOB = MappingProxyType(
     {
@@ -39,7 +39,8 @@
 
 def client_of(leader):
     lines = journal.Journal(journal.Origin('e', 'd'))
-    targets = connection.Connections(leader, lines)
+    sessions = session.Sessions(leader)
+    targets = connection.Connections(leader, sessions, lines)
     interface = caller.Interface(leader, targets, lines, metric.NoMetrics())
     return testclient.TestClient(interface.application())
 
--- a/mulberrywalk/entry/connection.py
+++ b/mulberrywalk/entry/connection.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import dataclasses
-
 import anyio
 import msgspec
 from starlette import websockets
@@ -11,11 +9,10 @@
 from ..core import event, identity, job, target
 from ..telemetry import clock, journal
 from ..transport import channel, codec, wire
-from . import protocol, upstream
+from . import protocol, session, upstream
 
 _SILENCE_S = 2.0
 _OPEN_S = 5.0
-_RENEWALS_S = 0.15
 _POLICY_VIOLATION = 1008
 _TRY_AGAIN = 1013
 
@@ -27,49 +24,84 @@
     """A target broke the protocol; the text tells it how."""
 
 
-@dataclasses.dataclass(slots=True)
-class Connection:
-    """One target that is connected to this entry."""
+class Connection(session.TargetSession):
+    """One target that is connected to this entry by a WebSocket."""
 
-    target: identity.TargetId
-    session: identity.SessionId
-    outbox: channel.Outbox[protocol.ToTarget] = dataclasses.field(
-        default_factory=channel.Outbox
-    )
+    def __init__(
+        self,
+        target: identity.TargetId,
+        name: identity.SessionId,
+        lines: journal.Journal,
+    ) -> None:
+        """Start with nothing to send."""
+        self.target = target
+        self.session = name
+        self.outbox: channel.Outbox[protocol.ToTarget] = channel.Outbox()
+        self._journal = lines
+
+    def command(self, commands: wire.Commands) -> None:
+        """Send what the leader wants the target to do."""
+        for start in commands.start:
+            self._journal.record(
+                'start sent',
+                job=start.task.split('.')[0],
+                task=start.task,
+                attempt=start.attempt,
+                target=self.target,
+            )
+        self.outbox.put(
+            protocol.Commands(
+                commands.start,
+                commands.stop,
+                commands.throttle,
+                commands.acknowledge,
+                self._stamp(),
+            )
+        )
+
+    def renew(self, sequence: int) -> None:
+        """Tell the target that its renewal was received."""
+        self.outbox.put(protocol.Renewed(sequence, self._stamp()))
+
+    def end(self) -> None:
+        """Tell the target that its session is over."""
+        self.outbox.put(protocol.Expired(self._stamp()))
+
+    def move_away(self) -> None:
+        """Ask the target to resume at another entry."""
+        self.outbox.put(protocol.Move(self._stamp()))
+
+    def _stamp(self) -> int:
+        return self._journal.clock.read()
 
 
 class Connections:
-    """All targets of this entry."""
+    """The targets that dial in to this entry."""
 
     def __init__(
-        self, leader: upstream.Upstream, lines: journal.Journal
+        self,
+        leader: upstream.Upstream,
+        sessions: session.Sessions,
+        lines: journal.Journal,
     ) -> None:
-        """Take over what the leader sends for targets."""
+        """Keep the sessions of the targets that connect among all."""
         self._leader = leader
+        self._sessions = sessions
         self._journal = lines
-        self._open: dict[identity.SessionId, Connection] = {}
-        self._renewals: dict[identity.SessionId, int] = {}
         self._is_moving = False
-        leader.hooks = upstream.Hooks(self._command, self._renew, self._end)
 
-    async def pass_on_renewals(self) -> None:
-        """Send the renewals of all targets in one message, for ever."""
-        while True:
-            await anyio.sleep(_RENEWALS_S)
-            if self._renewals:
-                gathered = tuple(self._renewals.items())
-                self._renewals.clear()
-                self._leader.send(wire.Renewals(gathered))
-
-    def count(self) -> int:
-        """Return how many targets are connected."""
-        return len(self._open)
+    def stop_taking(self) -> None:
+        """Let the leader know that this entry is stopping."""
+        self._leader.is_stopping = True
 
     def move_away(self) -> None:
-        """Ask all targets to resume at another entry."""
+        """Take no more targets, and let go of all."""
         self._is_moving = True
-        for connection in self._open.values():
-            connection.outbox.put(protocol.Move(self._stamp()))
+        self._sessions.move_away()
+
+    def count(self) -> int:
+        """Return how many targets this entry carries."""
+        return self._sessions.count()
 
     async def accept(self, socket: websockets.WebSocket) -> None:
         """Serve one target until either end closes or falls silent."""
@@ -100,14 +132,16 @@
         if self._is_moving:
             raise ConnectionError('this entry is stopping')
         self._journal.clock.witness(hello.clock)
-        session = identity.SessionId(hello.resume or '')
-        if not session:
-            session = await self._open_session(hello)
-        connection = Connection(identity.TargetId(hello.target), session)
-        self._open[session] = connection
-        welcome = protocol.Welcome(session, target.LEASE_MS, self._stamp())
+        name = identity.SessionId(hello.resume or '')
+        if not name:
+            name = await self._open_session(hello)
+        connection = Connection(
+            identity.TargetId(hello.target), name, self._journal
+        )
+        self._sessions.open[name] = connection
+        welcome = protocol.Welcome(name, target.LEASE_MS, self._stamp())
         connection.outbox.put(welcome)
-        self._journal.record('connected', detail=session, target=hello.target)
+        self._journal.record('connected', detail=name, target=hello.target)
         return connection
 
     async def _open_session(self, hello: protocol.Hello) -> identity.SessionId:
@@ -136,7 +170,7 @@
         self, connection: Connection, received: protocol.FromTarget
     ) -> None:
         if isinstance(received, protocol.Renew):
-            self._renewals[connection.session] = received.sequence
+            self._sessions.ask_renewal(connection.session, received.sequence)
         elif isinstance(received, protocol.Report):
             self._take_report(connection, received)
         elif isinstance(received, protocol.Leave):
@@ -179,45 +213,10 @@
             )
         )
 
-    def _command(self, commands: wire.Commands) -> None:
-        connection = self._open.get(commands.session)
-        if connection is None:
-            return
-        for start in commands.start:
-            self._journal.record(
-                'start sent',
-                job=start.task.split('.')[0],
-                task=start.task,
-                attempt=start.attempt,
-                target=connection.target,
-            )
-        connection.outbox.put(
-            protocol.Commands(
-                commands.start,
-                commands.stop,
-                commands.throttle,
-                commands.acknowledge,
-                self._stamp(),
-            )
-        )
-
-    def _renew(self, renewed: wire.Renewed) -> None:
-        for session, sequence in renewed.sessions:
-            connection = self._open.get(session)
-            if connection is not None:
-                connection.outbox.put(protocol.Renewed(sequence, self._stamp()))
-
-    def _end(self, gone: wire.Gone) -> None:
-        for session in gone.sessions:
-            connection = self._open.get(session)
-            if connection is not None:
-                connection.outbox.put(protocol.Expired(self._stamp()))
-
     def _forget(self, connection: Connection | None) -> None:
         if connection is None:
             return
-        if self._open.get(connection.session) is connection:
-            self._open.pop(connection.session)
+        if self._sessions.remove(connection.session, connection):
             self._journal.record('disconnected', target=connection.target)
 
     def _stamp(self) -> int:
--- a/mulberrywalk/entry/program.py
+++ b/mulberrywalk/entry/program.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
+import abc
 import dataclasses
 import signal
-from typing import Annotated
+from typing import Annotated, Any
 
 import anyio
 import typer
@@ -13,7 +14,7 @@
 from hypercorn import config as hypercorn_config
 
 from ..telemetry import cost, journal, metric, setting
-from . import caller, connection, protocol, upstream
+from . import caller, connection, protocol, session, upstream
 
 _EXIT_ADDRESS = 3
 _POLL_S = 0.05
@@ -22,6 +23,10 @@
 _MS_PER_S = 1000
 _QUIET_POLLS = 4
 _BACKLOG = 1024
+_IDLE_S = 75
+
+# An ASGI application, in the form that the server takes.
+Application = Any
 
 application = typer.Typer(add_completion=False)
 
@@ -38,6 +43,8 @@
     log_format: str
     notice_ms: int
     drain_limit_ms: int
+    current_ms: int = upstream.CURRENT_MS
+    idle_s: int = _IDLE_S
 
 
 @application.command()
@@ -87,40 +94,98 @@
         raise typer.Exit(_EXIT_ADDRESS) from errors
 
 
-async def serve(settings: Settings) -> None:
+@dataclasses.dataclass(frozen=True, slots=True)
+class Parts:
+    """What an extension of the entry is composed with."""
+
+    settings: Settings
+    leader: upstream.Upstream
+    sessions: session.Sessions
+    interface: caller.Interface
+    lines: journal.Journal
+    metrics: metric.Metrics
+
+
+class Extension(abc.ABC):
+    """Adds interfaces and targets of another kind to an entry."""
+
+    @abc.abstractmethod
+    def extend(
+        self, parts: Parts, application: Application
+    ) -> tuple[Application, tuple[str, ...]]:
+        """Return the application to serve, and the addresses to serve it on.
+
+        application is the entry's own one.
+        """
+
+    @abc.abstractmethod
+    async def run(self) -> None:
+        """Do the extension's own work until it is cancelled."""
+
+
+class NoExtension(Extension):
+    """The entry as it is."""
+
+    def extend(
+        self, parts: Parts, application: Application
+    ) -> tuple[Application, tuple[str, ...]]:
+        """Return the entry's own application and address."""
+        return application, (parts.settings.listen,)
+
+    async def run(self) -> None:
+        """Do nothing."""
+
+
+async def serve(
+    settings: Settings, extension: Extension | None = None
+) -> None:
     """Compose the entry and run it until a signal."""
     origin = journal.Origin(settings.name, settings.data_centre)
     lines = journal.Journal(origin)
     metrics = metric.connect(settings.statsd, f'mulberrywalk.{settings.name}')
-    leader = upstream.Upstream(settings.replicas, lines, cost.Meter())
-    targets = connection.Connections(leader, lines)
+    leader = upstream.Upstream(
+        settings.replicas,
+        lines,
+        cost.Meter(),
+        current_ms=settings.current_ms,
+    )
+    sessions = session.Sessions(leader)
+    targets = connection.Connections(leader, sessions, lines)
     interface = caller.Interface(leader, targets, lines, metrics)
     stop = anyio.Event()
+    extended = extension or NoExtension()
+    application, addresses = extended.extend(
+        Parts(settings, leader, sessions, interface, lines, metrics),
+        interface.application(),
+    )
+    config = _server_config(settings, addresses)
     async with anyio.create_task_group() as group:
         group.start_soon(leader.run)
-        group.start_soon(targets.pass_on_renewals)
+        group.start_soon(sessions.pass_on_renewals)
+        group.start_soon(extended.run)
         group.start_soon(_drain_on_signal, settings, interface, targets, stop)
-        group.start_soon(_serve_http, settings, interface, stop, group)
+        group.start_soon(_serve_http, application, config, stop, group)
         lines.record('entry running', settings.listen)
 
 
 async def _serve_http(
-    settings: Settings,
-    interface: caller.Interface,
+    application: Application,
+    config: hypercorn_config.Config,
     stop: anyio.Event,
     group: TaskGroup,
 ) -> None:
     await hypercorn_server.serve(
-        interface.application(),  # type: ignore[arg-type]
-        _server_config(settings),
-        shutdown_trigger=stop.wait,
+        application, config, shutdown_trigger=stop.wait
     )
     group.cancel_scope.cancel()
 
 
-def _server_config(settings: Settings) -> hypercorn_config.Config:
+def _server_config(
+    settings: Settings, addresses: tuple[str, ...]
+) -> hypercorn_config.Config:
     config = hypercorn_config.Config()
-    config.bind = [settings.listen]
+    config.bind = list(addresses)
+    config.keep_alive_timeout = settings.idle_s
     config.accesslog = None
     config.errorlog = None
     config.graceful_timeout = 1.0
@@ -154,6 +219,7 @@
     stop: anyio.Event,
 ) -> None:
     """Wait for the balancer to look away, then for requests to end."""
+    targets.stop_taking()
     await anyio.sleep(settings.notice_ms / _MS_PER_S)
     targets.move_away()
     with anyio.move_on_after(settings.drain_limit_ms / _MS_PER_S):
--- a/mulberrywalk/entry/upstream.py
+++ b/mulberrywalk/entry/upstream.py
@@ -59,8 +59,18 @@
         addresses: tuple[str, ...],
         lines: journal.Journal,
         meter: cost.Meter,
+        *,
+        current_ms: int = CURRENT_MS,
     ) -> None:
-        """Prepare; run dials the replicas in turn."""
+        """Prepare; run dials the replicas in turn.
+
+        current_ms is for how long a proof that the configuration is current
+        counts.
+        """
+        self.assign: Callable[[wire.Assignment], None] | None = None
+        self.ask_advice: Callable[[wire.AdviceWanted], None] | None = None
+        self.is_stopping = False
+        self._current_ms = current_ms
         self.configuration: configuration.Configuration | None = None
         self.hooks: Hooks | None = None
         self.addresses = list(addresses)
@@ -69,7 +79,7 @@
         self._calls: dict[int, PendingCall] = {}
         self._tickets = itertools.count(1)
         self._outbox: channel.Outbox[wire.FromEntry] = channel.Outbox()
-        self._confirmed_at = -CURRENT_MS
+        self._confirmed_at = -current_ms
         self._is_linked = False
         self._takers: MappingProxyType[Any, Taker] = MappingProxyType(
             {
@@ -78,13 +88,15 @@
                 wire.LeaderPulse: self._take_pulse,
                 wire.ConfigurationChanged: self._take_configuration,
                 wire.MembersChanged: self._take_members,
+                wire.Assignment: self._take_assignment,
+                wire.AdviceWanted: self._take_question,
             }
         )
 
     def is_current(self) -> bool:
         """Return whether the configuration was proved current lately."""
         age = clock.monotonic_ms() - self._confirmed_at
-        return self.configuration is not None and age < CURRENT_MS
+        return self.configuration is not None and age < self._current_ms
 
     async def call(
         self, request: wire.Request, seconds: float
@@ -100,6 +112,11 @@
                 await pending.done.wait()
         return pending.body
 
+    def add_addresses(self, addresses: tuple[str, ...]) -> None:
+        """Dial these replicas too, besides those that are known."""
+        known = set(self.addresses)
+        self.addresses[:0] = [one for one in addresses if one not in known]
+
     def send(self, message: wire.FromEntry) -> None:
         """Send a message that nobody waits for; dropped without a leader."""
         self._put(message)
@@ -157,7 +174,9 @@
         current = self.configuration
         version = current.version if current else 0
         now = clock.monotonic_ms()
-        return wire.EntryPulse(version, now, self._meter.read())
+        return wire.EntryPulse(
+            version, now, self._meter.read(), self.is_stopping
+        )
 
     def _batch(
         self, messages: tuple[wire.FromEntry, ...]
@@ -183,6 +202,14 @@
     def _take_members(self, changed: wire.MembersChanged) -> None:
         self.addresses = list(changed.addresses) or self.addresses
 
+    def _take_assignment(self, assigned: wire.Assignment) -> None:
+        if self.assign is not None:
+            self.assign(assigned)
+
+    def _take_question(self, wanted: wire.AdviceWanted) -> None:
+        if self.ask_advice is not None:
+            self.ask_advice(wanted)
+
     def _take_reply(self, reply: wire.Reply) -> None:
         pending = self._calls.get(reply.ticket)
         if pending is not None:
--- /dev/null
+++ b/mulberrywalk/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Translation between the product and the users' platform."""
--- /dev/null
+++ b/mulberrywalk/platform/control.py
@@ -0,0 +1,113 @@
+"""The platform's interface for workers and operators, at every replica.
+
+Only the leader answers for the cell; the others redirect to it.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+import anyio
+
+from ..core import event, identity, outcome
+from ..replica import program
+from . import http, wire
+
+_ANSWER_S = 0.9
+_BODY_BYTES = 16_777_216
+_INSTANCES = '/instances/'
+
+
+class Control:
+    """Answers workers and operators for the cell."""
+
+    def __init__(
+        self, parts: program.Parts, address: str, lease_ms: int
+    ) -> None:
+        """Prepare; serve is the ASGI application, reached at address."""
+        self._engine = parts.engine
+        self._leader = parts.leader
+        self._lines = parts.lines
+        self._address = address
+        self._lease_ms = lease_ms
+
+    async def serve(
+        self, scope: dict[str, Any], receive: http.Receive, send: http.Send
+    ) -> None:
+        """Answer one request."""
+        try:
+            request = await http.read(scope, receive, _BODY_BYTES)
+        except http.BodyTooLargeError:
+            await http.write(send, http.Response(http.TOO_LARGE))
+            return
+        except ConnectionError:
+            return
+        response = http.Response(http.UNAVAILABLE)
+        with anyio.move_on_after(_ANSWER_S):
+            response = await self._answer(request)
+        await http.write(send, response)
+
+    async def _answer(self, request: http.Request) -> http.Response:
+        if not self._engine.is_serving():
+            return self._redirect(request)
+        if request.path.startswith(_INSTANCES):
+            return await self._answer_worker(request)
+        if request.path == '/config/replace':
+            return await self._replace(request)
+        if request.path == '/config/read':
+            return self._read()
+        return http.Response(http.NOT_IMPLEMENTED)
+
+    def _redirect(self, request: http.Request) -> http.Response:
+        running = self._engine.node
+        leader = running.leader
+        member = running.membership.find(leader) if leader else None
+        if member is None or leader == running.identity:
+            return http.Response(http.UNAVAILABLE)
+        host = member.address.rpartition(':')[0]
+        port = self._address.rpartition(':')[2]
+        location = f'http://{host}:{port}{request.path}'
+        return http.Response(http.REDIRECT, headers={'location': location})
+
+    async def _answer_worker(self, request: http.Request) -> http.Response:
+        name, _, call = request.path[len(_INSTANCES) :].partition('/')
+        if call == 'deregister':
+            target = identity.TargetId(name)
+            return _respond(await self._leader.registry.farewell(target))
+        if call != 'heartbeat':
+            return http.Response(http.NOT_FOUND)
+        try:
+            sighting = wire.read_heartbeat(name, request.body, self._lease_ms)
+        except wire.WireError as error:
+            self._lines.warn(f'heartbeat of {name}: {error}')
+            return http.Response(http.BAD_REQUEST, {'error': str(error)})
+        told = await self._leader.registry.announce(sighting)
+        answer = _respond(told)
+        if answer.status == http.OK:
+            answer.body['heartbeatAddr'] = self._address
+        return answer
+
+    async def _replace(self, request: http.Request) -> http.Response:
+        try:
+            routing = wire.read_routing(request.body)
+        except wire.WireError as error:
+            self._lines.warn(f'configuration: {error}')
+            return http.Response(http.BAD_REQUEST, {'error': str(error)})
+        told = await self._engine.decide(
+            event.ConfigurationReplaced(self._engine.time(), routing)
+        )
+        return _respond(told)
+
+    def _read(self) -> http.Response:
+        source = self._engine.tables.configuration.routing.source
+        if not source:
+            return http.Response(http.UNAVAILABLE)
+        return http.Response(http.OK, source.encode())
+
+
+def _respond(told: outcome.Outcome | None) -> http.Response:
+    if told is None:
+        return http.Response(http.UNAVAILABLE)
+    if isinstance(told, outcome.NotRun):
+        return http.Response(http.BAD_REQUEST, {'error': told.detail})
+    return http.Response(http.OK)
--- /dev/null
+++ b/mulberrywalk/platform/wire.py
@@ -0,0 +1,372 @@
+"""The platform's messages, each decoded once into the product's records."""
+
+from __future__ import annotations
+
+import hashlib
+
+import msgspec
+
+from ..core import configuration, event, identity, job, resource
+from ..entry import called
+from ..replica import registry
+
+_PERCENT = 100
+_US_PER_MS = 1000
+_BYTES_PER_MIB = 1_048_576
+# Targets of the platform have no slots: other resources bound their tasks.
+_SLOTS = 100_000
+_URGENCIES = tuple(job.Urgency)
+_READY = 'ready'
+_DRAINING = 'draining'
+
+
+class WireError(Exception):
+    """A message that does not fit; the text says where."""
+
+
+class Advice(msgspec.Struct, frozen=True, rename='camel'):
+    """What an answer of a queue's adviser costs."""
+
+    decision_ms: float = 0
+    per_worker_ms: float = 0
+    valid_ms: float = 0
+
+
+class Route(msgspec.Struct, frozen=True, rename='camel'):
+    """A queue; service names the pool of its workers."""
+
+    name: str
+    host: str
+    path_prefix: str
+    service: str
+    timeout_ms: float
+    target_latency_ms: float = 0
+    priority: int = 0
+    max_attempts: int = 0
+    slack_factor: float = 1
+    advice: Advice | None = None
+
+
+class Service(msgspec.Struct, frozen=True):
+    """A pool of workers."""
+
+    name: str
+    standby: bool = False
+
+
+class Limits(msgspec.Struct, frozen=True, rename='camel'):
+    """Limits of callers' requests."""
+
+    max_body_bytes: int = 0
+
+
+class Configuration(msgspec.Struct, frozen=True):
+    """A complete configuration under the operator's version."""
+
+    version: int
+    routes: tuple[Route, ...]
+    services: tuple[Service, ...]
+    limits: Limits = Limits()
+
+
+class Phase(msgspec.Struct, frozen=True, rename='camel'):
+    """One step of a job; cpu is in thousandths of a core."""
+
+    count: int
+    cpu: float = 0
+    mem_mb: float = 0
+    gpu: int = 0
+    estimate_ms: float = 0
+    after: tuple[int, ...] = ()
+    checkpointing: bool = False
+    gang: bool = False
+    rack_local: bool = False
+    constraints: str = ''
+    data_rack: str = ''
+    anti_affinity: int = 0
+    speculative: bool = False
+    long_running: bool = False
+    image: str = ''
+    target_ms: float = 0
+    fills: bool = False
+    may_miss: int = 0
+
+
+class Job(msgspec.Struct, frozen=True, rename='camel'):
+    """A job as a caller hands it in; phases are its steps."""
+
+    phases: tuple[Phase, ...]
+    spec: str = ''
+    repeat_count: int = 0
+    interval_ms: float = 0
+    first_ms: float = 0
+
+
+class Capacity(msgspec.Struct, frozen=True, rename='camel'):
+    """What a worker holds; cpu is in thousandths of a core."""
+
+    cpu: float
+    mem_mb: float
+    gpu: int = 0
+
+
+class Heartbeat(msgspec.Struct, frozen=True):
+    """What a worker says of itself; labels end with its rack."""
+
+    service: str
+    address: str
+    zone: str
+    state: str
+    capacity: Capacity
+    seq: int
+    born: int
+    labels: tuple[str, ...] = ()
+
+
+class Listing(msgspec.Struct, frozen=True, rename='camel'):
+    """What runs on a worker and what has ended there."""
+
+    clock_ms: float
+    born: int
+    running: tuple[tuple[object, ...], ...] = ()
+    finished: tuple[tuple[object, ...], ...] = ()
+
+
+class Refusal(msgspec.Struct, frozen=True):
+    """Why a worker refuses an order."""
+
+    reason: str = ''
+
+
+class Ticket(msgspec.Struct, frozen=True):
+    """Leave of the adviser for one worker."""
+
+    id: str
+    ticket: str
+
+
+class Advised(msgspec.Struct, frozen=True):
+    """The workers that may run a step: rows of id and ticket."""
+
+    allowed: tuple[tuple[str, str] | Ticket, ...]
+
+
+_ENDS = {
+    'done': job.EndReason.COMPLETED,
+    'failed': job.EndReason.FAILED,
+    'stopped': job.EndReason.STOPPED,
+    'lapsed': job.EndReason.LEASE_LAPSED,
+    'broken': job.EndReason.GANG_BROKEN,
+    'alone': job.EndReason.GANG_INCOMPLETE,
+}
+REFUSALS = {
+    'fence': called.Answer.FENCED,
+    'old': called.Answer.BARRED,
+    'late': called.Answer.LATE,
+    'room': called.Answer.NO_ROOM,
+    'ticket': called.Answer.NO_TICKET,
+}
+
+_configurations = msgspec.json.Decoder(Configuration)
+_jobs = msgspec.json.Decoder(Job)
+_heartbeats = msgspec.json.Decoder(Heartbeat)
+_listings = msgspec.json.Decoder(Listing)
+_refusals = msgspec.json.Decoder(Refusal)
+_advised = msgspec.json.Decoder(Advised)
+
+
+def read_routing(body: bytes) -> configuration.Routing:
+    """Return the routing of a configuration; raises WireError."""
+    try:
+        read = _configurations.decode(body)
+        source = body.decode()
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise WireError(str(error)) from error
+    return configuration.Routing(
+        version=read.version,
+        queues=tuple(_queue_of(route) for route in read.routes),
+        pools=tuple(
+            configuration.PoolTerms(one.name, one.standby)
+            for one in read.services
+        ),
+        max_body_bytes=read.limits.max_body_bytes,
+        source=source,
+    )
+
+
+def read_job(
+    body: bytes, name: str, queue: configuration.Queue
+) -> job.Specification:
+    """Return the specification of a job for a queue; raises WireError."""
+    try:
+        read = _jobs.decode(body)
+        steps = tuple(_step_of(phase) for phase in read.phases)
+        fields = {
+            'request_id': name,
+            'team': queue.pool,
+            'kind': job.Kind.WORKFLOW,
+            'steps': msgspec.to_builtins(steps),
+            'job': name,
+            'queue': queue.name,
+            'payload': read.spec,
+            'recurrence': _recurrence_of(read),
+        }
+        return msgspec.convert(fields, job.Specification)
+    except msgspec.MsgspecError as error:
+        raise WireError(str(error)) from error
+
+
+def digest_of(body: bytes) -> str:
+    """Return a digest that tells one submission from another."""
+    return hashlib.sha256(body).hexdigest()
+
+
+def read_heartbeat(
+    name: str, body: bytes, lease_ms: int
+) -> registry.Sighting:
+    """Return what a worker says of itself; raises WireError."""
+    try:
+        read = _heartbeats.decode(body)
+    except msgspec.MsgspecError as error:
+        raise WireError(str(error)) from error
+    if read.state not in {_READY, _DRAINING}:
+        raise WireError(f'state {read.state!r} is not known')
+    rack = read.labels[-1] if read.labels else ''
+    announcement = event.Announcement(
+        target=identity.TargetId(name),
+        data_centre=identity.DataCentre(read.zone),
+        rack=identity.Rack(rack),
+        capacity=resource.Resources(
+            int(read.capacity.cpu),
+            int(read.capacity.mem_mb * _BYTES_PER_MIB),
+            read.capacity.gpu,
+            _SLOTS,
+        ),
+        nonce=str(read.born),
+        pool=identity.Pool(read.service),
+        labels=read.labels,
+        address=read.address,
+        born_at=read.born,
+        lease_ms=lease_ms,
+    )
+    return registry.Sighting(announcement, read.seq, read.state == _DRAINING)
+
+
+def read_listing(body: bytes) -> called.Seen:
+    """Return what a worker lists; raises WireError."""
+    try:
+        read = _listings.decode(body)
+        running = tuple(_running_of(row) for row in read.running)
+        ended = tuple(_ended_of(row) for row in read.finished)
+    except (msgspec.MsgspecError, KeyError, IndexError, ValueError) as error:
+        raise WireError(str(error)) from error
+    return called.Seen(int(read.clock_ms), read.born, running, ended)
+
+
+def read_refusal(body: bytes) -> called.Answer:
+    """Return why a worker refuses an order."""
+    try:
+        read = _refusals.decode(body)
+    except msgspec.MsgspecError:
+        return called.Answer.INVALID
+    return REFUSALS.get(read.reason, called.Answer.INVALID)
+
+
+def read_tickets(body: bytes) -> tuple[tuple[identity.TargetId, str], ...]:
+    """Return the workers that the adviser allows; raises WireError."""
+    try:
+        read = _advised.decode(body)
+    except msgspec.MsgspecError as error:
+        raise WireError(str(error)) from error
+    rows = (
+        (row.id, row.ticket) if isinstance(row, Ticket) else row
+        for row in read.allowed
+    )
+    return tuple((identity.TargetId(name), ticket) for name, ticket in rows)
+
+
+def split(attempt: identity.AttemptId) -> tuple[str, int]:
+    """Return the task and the run that the platform knows an attempt by."""
+    task, _, run = attempt.rpartition('/')
+    return task, int(run)
+
+
+def _attempt_of(task: object, run: object) -> identity.AttemptId:
+    return identity.AttemptId(f'{task}/{run}')
+
+
+def _running_of(row: tuple[object, ...]) -> called.Running:
+    gauge = row[4] if len(row) > 4 else 0
+    return called.Running(
+        _attempt_of(row[0], row[1]),
+        str(row[2] or ''),
+        int(gauge) if isinstance(gauge, int | float) else 0,
+    )
+
+
+def _ended_of(row: tuple[object, ...]) -> called.Ended:
+    number, task, run, how, saved = row[:5]
+    if not isinstance(number, int):
+        raise ValueError(f'end {number!r} is not numbered')
+    return called.Ended(
+        number, _attempt_of(task, run), _ENDS[str(how)], str(saved or '')
+    )
+
+
+def _queue_of(route: Route) -> configuration.Queue:
+    urgency = _URGENCIES[min(max(route.priority, 0), len(_URGENCIES) - 1)]
+    return configuration.Queue(
+        name=route.name,
+        host=route.host.lower(),
+        path_prefix=route.path_prefix,
+        pool=route.service,
+        urgency=urgency,
+        timeout_ms=int(route.timeout_ms),
+        objective_ms=int(route.target_latency_ms),
+        slack_percent=round(route.slack_factor * _PERCENT),
+        max_failures=route.max_attempts,
+        advice=_terms_of(route.advice),
+    )
+
+
+def _terms_of(advice: Advice | None) -> job.AdviceTerms | None:
+    if advice is None or not advice.valid_ms:
+        return None
+    return job.AdviceTerms(
+        int(advice.decision_ms),
+        int(advice.per_worker_ms * _US_PER_MS),
+        int(advice.valid_ms),
+    )
+
+
+def _step_of(phase: Phase) -> job.StepSpecification:
+    return job.StepSpecification(
+        count=phase.count,
+        millicores=int(phase.cpu),
+        memory_bytes=int(phase.mem_mb * _BYTES_PER_MIB),
+        accelerators=phase.gpu,
+        estimate_ms=int(phase.estimate_ms),
+        after=phase.after,
+        is_gang=phase.gang,
+        is_checkpointing=phase.checkpointing,
+        is_lasting=phase.long_running,
+        is_filler=phase.fills,
+        is_speculative=phase.speculative,
+        is_rack_local=phase.rack_local,
+        label=phase.constraints,
+        data_rack=phase.data_rack,
+        per_target_limit=phase.anti_affinity,
+        image=phase.image,
+        latency_target_ms=int(phase.target_ms),
+        planned_absences=phase.may_miss,
+    )
+
+
+def _recurrence_of(read: Job) -> dict[str, int] | None:
+    if read.repeat_count <= 0:
+        return None
+    return {
+        'first_at': int(read.first_ms),
+        'interval_ms': int(read.interval_ms),
+        'count': read.repeat_count,
+    }
--- /dev/null
+++ b/mulberrywalk/platform/worker.py
@@ -0,0 +1,203 @@
+"""Calls to the platform's workers and to its adviser."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import anyio
+import httpx
+import msgspec
+
+from ..core import identity
+from ..entry import adviser, called
+from ..telemetry import journal
+from ..transport import wire as messages
+from . import http, wire
+
+_ORDER_S = 0.9
+# Beyond the time that the answer itself is allowed to wait for an end.
+_LOOK_S = 0.9
+_ADVICE_S = 4.0
+_MS_PER_S = 1000
+_MOST_CONNECTIONS = 800
+_KEPT_CONNECTIONS = 200
+_IDLE_S = 20
+_PLACE = 'Mulberrywalk-Expected-Instance'
+_WRONG_LIFE = 421
+_HEADERS = {'Content-Type': 'application/json'}
+
+_STATUSES = {
+    http.OK: called.Answer.DONE,
+    http.BAD_REQUEST: called.Answer.INVALID,
+    _WRONG_LIFE: called.Answer.GONE,
+    http.TOO_MANY: called.Answer.UNWELL,
+    http.UNAVAILABLE: called.Answer.UNWELL,
+}
+
+
+def create_client() -> httpx.AsyncClient:
+    """Return the client that all calls of an entry share."""
+    return httpx.AsyncClient(
+        timeout=None,
+        trust_env=False,
+        limits=httpx.Limits(
+            max_connections=_MOST_CONNECTIONS,
+            max_keepalive_connections=_KEPT_CONNECTIONS,
+            keepalive_expiry=_IDLE_S,
+        ),
+    )
+
+
+async def post(
+    client: httpx.AsyncClient,
+    url: str,
+    body: dict[str, Any],
+    headers: dict[str, str],
+    seconds: float,
+) -> httpx.Response | None:
+    """Return the answer, or None when none came in time."""
+    with anyio.move_on_after(seconds):
+        try:
+            return await client.post(
+                url, content=msgspec.json.encode(body), headers=headers
+            )
+        except (httpx.HTTPError, OSError, anyio.ClosedResourceError):
+            return None
+    return None
+
+
+class Worker(called.TargetCaller):
+    """Orders and looks as calls to workers."""
+
+    def __init__(
+        self, client: httpx.AsyncClient, lines: journal.Journal
+    ) -> None:
+        """Use the client that is given."""
+        self._client = client
+        self._lines = lines
+
+    async def look(
+        self, destination: called.Destination, glance: called.Glance
+    ) -> called.Seen | called.Answer:
+        """Return what a look has shown, or why there is nothing."""
+        body: dict[str, Any] = {
+            'fencingToken': glance.term,
+            'ackCursor': glance.acknowledged,
+        }
+        if glance.until is not None:
+            body['deadlineMs'] = glance.until
+        if glance.wait_ms:
+            body['waitMs'] = glance.wait_ms
+        seconds = _LOOK_S + glance.wait_ms / _MS_PER_S
+        answered = await self._call(destination, 'hold', body, seconds)
+        if answered is None:
+            return called.Answer.NONE
+        if answered.status_code != http.OK:
+            return _answer_of(answered)
+        try:
+            return wire.read_listing(answered.content)
+        except wire.WireError as error:
+            self._lines.warn(f'listing of {destination.target}: {error}')
+            return called.Answer.INVALID
+
+    async def start(
+        self,
+        destination: called.Destination,
+        command: messages.StartCommand,
+        until: int,
+        term: int,
+    ) -> called.Answer:
+        """Start an attempt under a lease until a time of the worker."""
+        body = _order(command.attempt, term)
+        body['spec'] = command.payload
+        body['deadlineMs'] = until
+        if command.checkpoint:
+            body['checkpoint'] = command.checkpoint
+        if command.ticket:
+            body['ticket'] = command.ticket
+        return await self._order(destination, 'run-start', body)
+
+    async def stop(
+        self,
+        destination: called.Destination,
+        attempt: identity.AttemptId,
+        term: int,
+    ) -> called.Answer:
+        """Stop an attempt, and bar it where it was not started yet."""
+        body = _order(attempt, term)
+        return await self._order(destination, 'run-stop', body)
+
+    async def pace(
+        self,
+        destination: called.Destination,
+        attempt: identity.AttemptId,
+        percent: int,
+        term: int,
+    ) -> called.Answer:
+        """Let an attempt work at a share of its speed."""
+        body = _order(attempt, term)
+        body['percent'] = percent
+        return await self._order(destination, 'pace', body)
+
+    async def _order(
+        self, destination: called.Destination, path: str, body: dict[str, Any]
+    ) -> called.Answer:
+        answered = await self._call(destination, path, body, _ORDER_S)
+        return called.Answer.NONE if answered is None else _answer_of(answered)
+
+    async def _call(
+        self,
+        destination: called.Destination,
+        path: str,
+        body: dict[str, Any],
+        seconds: float,
+    ) -> httpx.Response | None:
+        return await post(
+            self._client,
+            f'http://{destination.address}/{path}',
+            body,
+            {**_HEADERS, _PLACE: destination.target},
+            seconds,
+        )
+
+
+class Advice(adviser.AdviserCaller):
+    """Questions as calls to the adviser of the platform."""
+
+    def __init__(
+        self, client: httpx.AsyncClient, address: str, lines: journal.Journal
+    ) -> None:
+        """Ask at an address, host:port."""
+        self._client = client
+        self._address = address
+        self._lines = lines
+
+    async def advise(
+        self, step: identity.StepId, targets: tuple[identity.TargetId, ...]
+    ) -> tuple[tuple[identity.TargetId, str], ...] | None:
+        """Return allowed workers with their tickets, or None on failure."""
+        answered = await post(
+            self._client,
+            f'http://{self._address}/advise',
+            {'step': step, 'workers': targets},
+            _HEADERS,
+            _ADVICE_S,
+        )
+        if answered is None or answered.status_code != http.OK:
+            return None
+        try:
+            return wire.read_tickets(answered.content)
+        except wire.WireError as error:
+            self._lines.warn(f'advice on {step}: {error}')
+            return None
+
+
+def _order(attempt: identity.AttemptId, term: int) -> dict[str, Any]:
+    task, run = wire.split(attempt)
+    return {'task': task, 'runId': run, 'fencingToken': term}
+
+
+def _answer_of(answered: httpx.Response) -> called.Answer:
+    if answered.status_code == http.CONFLICT:
+        return wire.read_refusal(answered.content)
+    return _STATUSES.get(answered.status_code, called.Answer.NONE)
--- a/mulberrywalk/replica/delivery.py
+++ b/mulberrywalk/replica/delivery.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import msgspec
+
 from ..core import effect, identity, job, state
 from ..transport import wire
 from . import engine, lease, link
@@ -73,7 +75,8 @@
             self.stop(attempt, now)
 
     def _send(self, commands: wire.Commands) -> None:
-        self._links.send(self._leases.entry_of(commands.session), commands)
+        fenced = msgspec.structs.replace(commands, term=self._engine.node.term)
+        self._links.send(self._leases.entry_of(commands.session), fenced)
 
 
 def is_unconfirmed(attempt: job.Attempt) -> bool:
@@ -94,15 +97,26 @@
         memory_bytes=needs.memory_bytes,
         accelerators=needs.accelerators,
         estimate_ms=needs.estimate_ms,
-        payload=needs.payload,
+        payload=_payload_of(tables, task),
         checkpoint=task.checkpoint,
+        ticket=attempt.ticket,
+        latency_target_ms=getattr(needs, 'latency_target_ms', 0),
+        is_filler=getattr(needs, 'is_filler', False),
     )
 
 
+def _payload_of(tables: state.State, task: job.Task) -> str:
+    needs = tables.task_specification(task)
+    if isinstance(needs, job.TaskSpecification):
+        return needs.payload
+    return tables.specification(task).payload
+
+
 def stop_command(attempt: job.Attempt) -> wire.StopCommand:
     """Return the command that stops an attempt."""
     is_checkpointed = attempt.stopping in {
         job.StopReason.PREEMPTED,
         job.StopReason.OVERUSED,
+        job.StopReason.EVACUATED,
     }
     return wire.StopCommand(attempt.attempt, is_checkpointed)
--- a/mulberrywalk/replica/engine.py
+++ b/mulberrywalk/replica/engine.py
@@ -84,6 +84,11 @@
         self._pending: dict[int, list[Proposal]] = {}
         self._wake = anyio.Event()
         self._is_dispatch_due = False
+        self._clock = clock.SlewedClock()
+
+    def time(self) -> int:
+        """Return the time for events, in milliseconds since 1970."""
+        return self._clock.read()
 
     def enter(self, entered: node.Input) -> None:
         """Queue an input for the next round."""
@@ -95,6 +100,22 @@
         self._proposals.append(Proposal(occurred, told))
         self._wake.set()
 
+    async def decide(self, occurred: event.Event) -> outcome.Outcome | None:
+        """Return the outcome of an event once it is committed.
+
+        None when this replica cannot tell whether it was.
+        """
+        done = anyio.Event()
+        answers: list[outcome.Outcome | None] = []
+
+        def take(told: outcome.Outcome | None) -> None:
+            answers.append(told)
+            done.set()
+
+        self.propose(occurred, take)
+        await done.wait()
+        return answers[0]
+
     def request_dispatch(self) -> None:
         """Let waiting work be placed in the next round."""
         self._is_dispatch_due = True
@@ -151,7 +172,7 @@
             self._wake.set()
         self._is_dispatch_due = False
         events = [proposal.occurred for proposal in batch]
-        events.append(event.TimePassed(clock.wall_ms()))
+        events.append(event.TimePassed(self.time()))
         index = self.node.log.last_index() + 1
         self._pending[index] = batch
         return raft.step(self.node, node.Proposed((_encoder.encode(events),)))
@@ -200,6 +221,7 @@
         elif isinstance(effected, node.RoleChanged):
             role = effected.role.value
             self._journal.record('role', f'{role} in term {effected.term}')
+            self._clock.advance(self.tables.time)
             self._give_up()
             self._changed()
 
--- a/mulberrywalk/replica/leader.py
+++ b/mulberrywalk/replica/leader.py
@@ -8,12 +8,23 @@
 from typing import Any
 
 import anyio
+import msgspec
 
 from ..consensus import node, repair
-from ..core import effect, event, identity, outcome
+from ..core import effect, event, identity, outcome, target
 from ..telemetry import clock, journal, metric
 from ..transport import wire
-from . import delivery, engine, lease, link, request, status
+from . import (
+    assignment,
+    delivery,
+    engine,
+    lease,
+    link,
+    question,
+    registry,
+    request,
+    status,
+)
 
 _ROUND_S = 0.1
 _DISPATCH_MS = 250
@@ -43,6 +54,7 @@
         self.links = link.Links(
             running, lines, statuses.meter, self._receive, self._open
         )
+        self.registry = registry.Registry(running)
         self._statuses = statuses
         self._engine = running
         self._journal = lines
@@ -97,10 +109,15 @@
 
     def _begin(self) -> None:
         now = clock.monotonic_ms()
-        self._leases = lease.Leases(now)
+        self._leases = lease.Leases(now, self._lease_length)
         self._delivery = delivery.Delivery(
             self._engine, self.links, self._leases
         )
+        self._assignments = assignment.Assignments(
+            self._engine, self.links, self._leases, self._delivery
+        )
+        self._questions = question.Questions(self._engine, self.links)
+        self.registry.reset()
         self._requests = request.Requests(
             self._engine,
             self.links,
@@ -118,6 +135,7 @@
                     effect.EndSession: self._end_session,
                     effect.ReportJobEnd: self._report_job_end,
                     effect.PublishConfiguration: self._publish,
+                    effect.AskAdvice: self._questions.ask,
                     effect.Trace: self._trace,
                 }
             )
@@ -128,8 +146,9 @@
         expired = self._leases.expire(list(tables.sessions), now)
         for session in expired:
             self._engine.propose(
-                event.SessionExpired(clock.wall_ms(), session), _ignore
+                event.SessionExpired(self._engine.time(), session), _ignore
             )
+        self._assignments.review(now)
         self._delivery.resend(now)
         self._dispatch_when_due(now)
         if now - self._repaired_at >= _REPAIR_MS:
@@ -146,7 +165,7 @@
 
     def _is_timer_due(self) -> bool:
         tables = self._engine.tables
-        wall = clock.wall_ms()
+        wall = self._engine.time()
         document = tables.configuration.document
         oldest = wall - document.finished_retention_ms
         delayed = tables.waiting.delayed
@@ -154,6 +173,7 @@
             (delayed and delayed[0][0] <= wall)
             or (tables.quarantined and tables.quarantined[0][0] <= wall)
             or (tables.finished and tables.finished[0][0] < oldest)
+            or (tables.due and tables.due[0][0] <= wall)
         )
 
     def _repair(self) -> None:
@@ -176,11 +196,17 @@
 
     def _open(self, opened: link.Link) -> None:
         opened.send(self._members_changed())
-        opened.send(
-            wire.ConfigurationChanged(self._engine.tables.configuration)
-        )
+        opened.send(self._configuration_changed())
         self._journal.record('entry linked', opened.process)
 
+    def _configuration_changed(self) -> wire.ConfigurationChanged:
+        # Entries have no use for the operator's own text of the routing.
+        current = self._engine.tables.configuration
+        routing = msgspec.structs.replace(current.routing, source='')
+        return wire.ConfigurationChanged(
+            msgspec.structs.replace(current, routing=routing)
+        )
+
     def _members_changed(self) -> wire.MembersChanged:
         members = self._engine.node.membership.members
         return wire.MembersChanged(tuple(one.address for one in members))
@@ -196,10 +222,13 @@
             self._propose_report(origin, received)
         elif isinstance(received, wire.Departure):
             self._engine.propose(
-                event.DepartureAnnounced(clock.wall_ms(), received.session),
+                event.DepartureAnnounced(self._engine.time(), received.session),
                 _ignore,
             )
+        elif isinstance(received, wire.Advised):
+            self._take_advice(received)
         else:
+            origin.is_stopping = received.is_stopping
             origin.version = received.version
             origin.pulse_sent_at = received.sent_at
             origin.cost = received.cost
@@ -212,6 +241,8 @@
         for session, count in received.sessions:
             if session not in sessions:
                 gone.append(session)
+            elif not self._assignments.is_calling(session, origin.process):
+                gone.append(session)
             elif not self._leases.is_expiring(session):
                 renewed.append((session, count))
                 if self._leases.renew(session, origin.process, now):
@@ -221,14 +252,52 @@
         if gone:
             origin.send(wire.Gone(tuple(gone)))
 
+    def _take_advice(self, received: wire.Advised) -> None:
+        self._questions.close(received.step)
+        self._engine.propose(
+            event.AdviceReceived(
+                self._engine.time(),
+                received.step,
+                received.asked,
+                received.allowed,
+                received.age_ms,
+            ),
+            _ignore,
+        )
+
+    def _lease_length(self, session: identity.SessionId) -> int:
+        known = self._engine.tables.sessions.get(session)
+        return known.lease_ms if known else target.LEASE_MS
+
+    def _bar_strangers(self, origin: link.Link, received: wire.Report) -> None:
+        """Stop what a target runs that no live attempt of its session is.
+
+        An order that was held up may be carried out after its attempt has
+        ended or was given up.
+        """
+        attempts = self._engine.tables.attempts
+        strangers = tuple(
+            wire.StopCommand(one.attempt, is_checkpointed=False)
+            for one in received.started
+            if one.attempt not in attempts
+            or attempts[one.attempt].session != received.session
+        )
+        if strangers:
+            term = self._engine.node.term
+            origin.send(
+                wire.Commands(received.session, stop=strangers, term=term)
+            )
+
     def _propose_report(self, origin: link.Link, received: wire.Report) -> None:
+        self._bar_strangers(origin, received)
         self._engine.propose(
             event.ReportReceived(
-                clock.wall_ms(),
+                self._engine.time(),
                 received.session,
                 received.started,
                 received.ended,
                 received.usage,
+                received.saved,
             ),
             lambda told: self._tell_gone(origin, received.session, told),
         )
@@ -264,8 +333,7 @@
         self._requests.answer_waiting(effected.job)
 
     def _publish(self, effected: effect.PublishConfiguration) -> None:
-        current = self._engine.tables.configuration
-        self.links.broadcast(wire.ConfigurationChanged(current))
+        self.links.broadcast(self._configuration_changed())
 
     def _trace(self, effected: effect.Trace) -> None:
         self._journal.record(
--- a/mulberrywalk/replica/lease.py
+++ b/mulberrywalk/replica/lease.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import dataclasses
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from ..core import identity, target
 
@@ -21,15 +21,27 @@
     entry: str = ''
 
 
+def _usual_length(_: identity.SessionId) -> int:
+    return target.LEASE_MS
+
+
 class Leases:
     """The leases of all sessions while this replica leads.
 
     Times are milliseconds of this process's monotonic clock.
     """
 
-    def __init__(self, now: int) -> None:
-        """Start as a new leader: every session may have renewed just now."""
+    def __init__(
+        self,
+        now: int,
+        length_of: Callable[[identity.SessionId], int] = _usual_length,
+    ) -> None:
+        """Start as a new leader: every session may have renewed just now.
+
+        length_of tells the length of a session's lease in milliseconds.
+        """
         self._led_from = now
+        self._length_of = length_of
         self._sessions: dict[identity.SessionId, SessionLease] = {}
         self._expiring: set[identity.SessionId] = set()
 
@@ -41,8 +53,24 @@
         if session in self._expiring:
             return False
         known = self._sessions.get(session)
-        self._sessions[session] = SessionLease(now, entry)
-        return known is None or known.entry != entry
+        if known is None:
+            self._sessions[session] = SessionLease(now, entry)
+            return True
+        is_moved = known.entry != entry
+        known.renewed_at = now
+        known.entry = entry
+        return is_moved
+
+    def assign(self, session: identity.SessionId, entry: str) -> None:
+        """Note which entry is to call the target of a session.
+
+        The lease is not renewed by that.
+        """
+        known = self._sessions.get(session)
+        if known is None:
+            known = SessionLease(self._led_from)
+            self._sessions[session] = known
+        known.entry = entry
 
     def is_expiring(self, session: identity.SessionId) -> bool:
         """Return whether a session is being declared over."""
@@ -60,12 +88,11 @@
 
         From then on they cannot be renewed any more.
         """
-        oldest = now - target.LEASE_MS - target.MARGIN_MS
         expired = [
             session
             for session in sessions
             if session not in self._expiring
-            and self._renewed_at(session) < oldest
+            and self._expires_at(session) < now
         ]
         self._expiring.update(expired)
         return expired
@@ -75,6 +102,11 @@
         self._sessions.pop(session, None)
         self._expiring.discard(session)
 
-    def _renewed_at(self, session: identity.SessionId) -> int:
+    def renewed_at(self, session: identity.SessionId) -> int:
+        """Return when a session was renewed, or this replica began to lead."""
         known = self._sessions.get(session)
         return known.renewed_at if known else self._led_from
+
+    def _expires_at(self, session: identity.SessionId) -> int:
+        length = self._length_of(session)
+        return self.renewed_at(session) + length + target.MARGIN_MS
--- a/mulberrywalk/replica/link.py
+++ b/mulberrywalk/replica/link.py
@@ -27,6 +27,7 @@
     version: int = 0
     pulse_sent_at: int = 0
     cost: cost.Cost = dataclasses.field(default_factory=cost.Cost)
+    is_stopping: bool = False
 
     def send(self, message: wire.ToEntry) -> None:
         """Queue a message for the entry."""
--- a/mulberrywalk/replica/program.py
+++ b/mulberrywalk/replica/program.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import abc
 import dataclasses
 import pathlib
 import signal
@@ -143,7 +144,34 @@
     )
 
 
-async def serve(settings: Settings) -> None:
+@dataclasses.dataclass(frozen=True, slots=True)
+class Parts:
+    """What an extension of the replica is composed with."""
+
+    settings: Settings
+    engine: engine.Engine
+    leader: leader.Leader
+    lines: journal.Journal
+
+
+class Extension(abc.ABC):
+    """Adds interfaces of another kind to a replica."""
+
+    @abc.abstractmethod
+    async def run(self, parts: Parts) -> None:
+        """Serve until it is cancelled."""
+
+
+class NoExtension(Extension):
+    """The replica as it is."""
+
+    async def run(self, parts: Parts) -> None:
+        """Do nothing."""
+
+
+async def serve(
+    settings: Settings, extension: Extension | None = None
+) -> None:
     """Compose the replica and run it until a signal."""
     origin = journal.Origin(settings.name, settings.data_centre)
     lines = journal.Journal(origin)
@@ -169,6 +197,10 @@
         group.start_soon(leading.run)
         group.start_soon(_join_cell, settings, running, lines)
         group.start_soon(_stop_on_signal, running, lines, group)
+        extended = extension or NoExtension()
+        group.start_soon(
+            extended.run, Parts(settings, running, leading, lines)
+        )
     await server.stop()
     disk.close()
 
--- a/mulberrywalk/replica/request.py
+++ b/mulberrywalk/replica/request.py
@@ -66,7 +66,7 @@
             origin,
             ticket,
             event.JobSubmitted(
-                clock.wall_ms(), request.specification, request.digest
+                self._engine.time(), request.specification, request.digest
             ),
         )
 
@@ -74,7 +74,7 @@
         self, origin: link.Link, ticket: int, request: wire.Cancel
     ) -> None:
         """Propose the cancellation of a job."""
-        occurred = event.JobCancelled(clock.wall_ms(), request.job)
+        occurred = event.JobCancelled(self._engine.time(), request.job)
         self._propose(origin, ticket, occurred)
 
     def patch(
@@ -88,7 +88,7 @@
             origin,
             ticket,
             event.ConfigurationPatched(
-                clock.wall_ms(),
+                self._engine.time(),
                 request.request_id,
                 request.version,
                 request.changes,
@@ -99,7 +99,7 @@
         self, origin: link.Link, ticket: int, request: wire.OpenSession
     ) -> None:
         """Propose the session of a target that has announced itself."""
-        occurred = event.SessionOpened(clock.wall_ms(), request.announcement)
+        occurred = event.SessionOpened(self._engine.time(), request.announcement)
         self._engine.propose(
             occurred, lambda told: self._grant(origin, ticket, told)
         )
@@ -118,6 +118,24 @@
             shown = view.show_job(self._engine.tables, record)
             _reply(origin, ticket, {codec.TAG: 'job', **shown})
 
+    def answer_state(
+        self, origin: link.Link, ticket: int, request: wire.GetState
+    ) -> None:
+        """Answer with the state of a job alone."""
+        record = self._engine.tables.jobs.get(request.job)
+        if record is None:
+            _reply_not_found(origin, ticket, request.job)
+            return
+        shown = view.state_of(record).value
+        _reply(origin, ticket, {codec.TAG: 'job_state', 'state': shown})
+
+    def count_pending(
+        self, origin: link.Link, ticket: int, request: wire.CountPending
+    ) -> None:
+        """Answer with how many jobs of a queue have not begun."""
+        count = self._engine.tables.pending[request.queue]
+        _reply(origin, ticket, {codec.TAG: 'pending', 'count': count})
+
     def explain(
         self, origin: link.Link, ticket: int, request: wire.Explain
     ) -> None:
@@ -190,7 +208,7 @@
             )
             _reply_outcome(origin, ticket, refusal)
             return
-        occurred = event.DepartureAnnounced(clock.wall_ms(), record.session)
+        occurred = event.DepartureAnnounced(self._engine.time(), record.session)
         self._propose(origin, ticket, occurred)
 
     def _grant(
@@ -221,6 +239,8 @@
         wire.GetTargets: Requests.answer_targets,
         wire.OpenSession: Requests.open_session,
         wire.DrainTarget: Requests.drain_target,
+        wire.GetState: Requests.answer_state,
+        wire.CountPending: Requests.count_pending,
     }
 )
 
--- a/mulberrywalk/replica/view.py
+++ b/mulberrywalk/replica/view.py
@@ -32,7 +32,7 @@
         'team': record.specification.team,
         'kind': record.specification.kind.value,
         'urgency': record.specification.urgency.value,
-        'state': record.state.value,
+        'state': state_of(record).value,
         'submitted_at': record.submitted_at,
         'ended_at': record.ended_at,
         'is_cancelled': record.is_cancelled,
@@ -40,6 +40,15 @@
     }
 
 
+def state_of(record: job.Job) -> job.JobState:
+    """Return the state of a job, final as soon as it is decided."""
+    if record.unfinished and record.is_abandoned:
+        return job.JobState.FAILED
+    if record.unfinished and record.is_cancelled:
+        return job.JobState.CANCELLED
+    return record.state
+
+
 def explain_job(tables: state.State, record: job.Job) -> dict[str, Any]:
     """Return why the tasks of a job wait, or where they ran and why."""
     tasks = lifecycle.tasks_of(tables, record)
--- a/mulberrywalk/telemetry/clock.py
+++ b/mulberrywalk/telemetry/clock.py
@@ -6,11 +6,17 @@
 
 _COUNTER_BITS = 16
 _NANOSECONDS_PER_MS = 1_000_000
+_SLEW = 0.1
 
 
 def monotonic_ms() -> int:
-    """Return the monotonic clock in milliseconds; it never runs back."""
-    return time.monotonic_ns() // _NANOSECONDS_PER_MS
+    """Return a clock in milliseconds that never runs back.
+
+    It counts the time in which the machine was suspended, so that a lease
+    cannot outlast a suspension.
+    """
+    now = time.clock_gettime_ns(time.CLOCK_BOOTTIME)
+    return now // _NANOSECONDS_PER_MS
 
 
 def wall_ms() -> int:
@@ -18,6 +24,34 @@
     return time.time_ns() // _NANOSECONDS_PER_MS
 
 
+class SlewedClock:
+    """The wall clock without its jumps, in milliseconds since 1970.
+
+    It runs on with the monotonic clock and approaches the wall clock by at
+    most a tenth of the time that passes.
+    """
+
+    def __init__(self) -> None:
+        """Start at the wall clock."""
+        self._read_at = monotonic_ms()
+        self._shown = float(wall_ms())
+
+    def read(self) -> int:
+        """Return the time; it never runs back."""
+        now = monotonic_ms()
+        passed = now - self._read_at
+        self._read_at = now
+        self._shown += passed
+        most = passed * _SLEW
+        offset = wall_ms() - self._shown
+        self._shown += max(-most, min(most, offset))
+        return int(self._shown)
+
+    def advance(self, at_least: int) -> None:
+        """Go on from a later time that is known to have passed."""
+        self._shown = max(self._shown, float(at_least))
+
+
 class HybridClock:
     """A hybrid logical clock: wall milliseconds and a counter in one number.
 
--- a/mulberrywalk/transport/wire.py
+++ b/mulberrywalk/transport/wire.py
@@ -69,6 +69,18 @@
     target: identity.TargetId
 
 
+class GetState(msgspec.Struct, frozen=True, tag=True):
+    """Read only the state of a job."""
+
+    job: identity.JobId
+
+
+class CountPending(msgspec.Struct, frozen=True, tag=True):
+    """Ask how many jobs of a queue have not begun."""
+
+    queue: str
+
+
 Request: TypeAlias = (
     Submit
     | Cancel
@@ -80,6 +92,8 @@
     | GetTargets
     | OpenSession
     | DrainTarget
+    | GetState
+    | CountPending
 )
 
 
@@ -103,6 +117,7 @@
     started: tuple[event.AttemptStart, ...] = ()
     ended: tuple[event.AttemptEnd, ...] = ()
     usage: tuple[event.AttemptUsage, ...] = ()
+    saved: tuple[event.AttemptCheckpoint, ...] = ()
 
 
 class Departure(msgspec.Struct, frozen=True, tag=True):
@@ -114,15 +129,31 @@
 class EntryPulse(msgspec.Struct, frozen=True, tag=True):
     """An entry is alive and applies this version of the configuration.
 
-    sent_at is the entry's monotonic clock in milliseconds.
+    sent_at is the entry's monotonic clock in milliseconds. An entry that is
+    stopping calls no more targets.
     """
 
     version: int
     sent_at: int
     cost: cost.Cost = cost.Cost()
+    is_stopping: bool = False
 
 
-FromEntry: TypeAlias = Call | Renewals | Report | Departure | EntryPulse
+class Advised(msgspec.Struct, frozen=True, tag=True):
+    """The adviser's answer for a step; nothing asked when it failed.
+
+    age_ms is how long ago the adviser was asked.
+    """
+
+    step: identity.StepId
+    asked: tuple[identity.TargetId, ...]
+    allowed: tuple[tuple[identity.TargetId, str], ...]
+    age_ms: int
+
+
+FromEntry: TypeAlias = (
+    Call | Renewals | Report | Departure | EntryPulse | Advised
+)
 
 
 class FromEntryBatch(msgspec.Struct, frozen=True):
@@ -152,6 +183,9 @@
     estimate_ms: int
     payload: str
     checkpoint: str = ''
+    ticket: str = ''
+    latency_target_ms: int = 0
+    is_filler: bool = False
 
 
 class StopCommand(msgspec.Struct, frozen=True):
@@ -169,6 +203,41 @@
     stop: tuple[StopCommand, ...] = ()
     throttle: tuple[identity.AttemptId, ...] = ()
     acknowledge: tuple[identity.AttemptId, ...] = ()
+    term: int = 0
+
+
+class Share(msgspec.Struct, frozen=True):
+    """How an attempt shares its target with others.
+
+    latency_target_ms is zero unless the attempt serves users of its own.
+    """
+
+    attempt: identity.AttemptId
+    latency_target_ms: int
+    is_filler: bool
+
+
+class Assignment(msgspec.Struct, frozen=True, tag=True):
+    """The entry is to call a target of a session.
+
+    born_at is the life that the session is with; term is the leader's, and
+    fences orders of earlier ones. shares tells of the live attempts.
+    """
+
+    session: identity.SessionId
+    target: identity.TargetId
+    address: str
+    born_at: int
+    term: int
+    lease_ms: int
+    shares: tuple[Share, ...] = ()
+
+
+class AdviceWanted(msgspec.Struct, frozen=True, tag=True):
+    """The entry is to ask the adviser about a step."""
+
+    step: identity.StepId
+    targets: tuple[identity.TargetId, ...]
 
 
 class Renewed(msgspec.Struct, frozen=True, tag=True):
@@ -221,6 +290,8 @@
     | ConfigurationChanged
     | MembersChanged
     | Redirect
+    | Assignment
+    | AdviceWanted
 )
 
 
