Acknowledge ends beyond those that another entry has acknowledged

Cause: an entry that took a target over counted acknowledged ends from one and waited for a first one that the target had forgotten long ago; ends were listed and reported again for ever, the log filled the disk and the replicas ended. Ruled out: a damaged log after the power loss (the error was a full disk). Change: ends below the lowest listed one count as acknowledged; a probe carries no entries; lines of the log are bounded; one client an address.

--- a/mulberrywalk/consensus/leadership.py
+++ b/mulberrywalk/consensus/leadership.py
@@ -195,7 +195,11 @@
     if previous_term is None:
         _send_snapshot(state, peer, effects)
         return
-    entries = state.log.slice(progress.next_index, state.timing.batch_entries)
+    entries: tuple[message.LogEntry, ...] = ()
+    if not progress.is_probing:
+        entries = state.log.slice(
+            progress.next_index, state.timing.batch_entries
+        )
     request = message.AppendRequest(
         state.term,
         previous,
@@ -204,8 +208,7 @@
         state.commit_index,
         state.now,
     )
-    if not progress.is_probing:
-        progress.next_index += len(entries)
+    progress.next_index += len(entries)
     effects.append(node.Send(peer, request, is_after_sync=False))
 
 
--- a/mulberrywalk/core/advice.py
+++ b/mulberrywalk/core/advice.py
@@ -42,7 +42,7 @@
     """
     record = tables.jobs[step.job]
     terms = record.specification.advice
-    if terms is None or _is_asking(tables, step, terms):
+    if terms is None or is_asking(tables, step):
         return
     chosen = _choose(tables, step, suitable)
     if not chosen:
@@ -129,9 +129,11 @@
     return tuple(load.target for load in ordered[:MOST_ASKED])
 
 
-def _is_asking(
-    tables: state.State, step: job.Step, terms: job.AdviceTerms
-) -> bool:
+def is_asking(tables: state.State, step: job.Step) -> bool:
+    """Return whether a question is open, or the next one not yet due."""
+    terms = tables.jobs[step.job].specification.advice
+    if terms is None:
+        return False
     if tables.time < step.ask_after:
         return True
     patience = _expected_ms(terms, MOST_ASKED) + _PATIENCE_MS
--- a/mulberrywalk/core/lifecycle.py
+++ b/mulberrywalk/core/lifecycle.py
@@ -170,7 +170,7 @@
     state.remove_attempt(tables, attempt)
     ended = _limit_answer(tables, attempt, ended)
     task = _close_attempt(tables, attempt, ended)
-    trace(tables, 'ended', attempt, ended.reason.value)
+    trace(tables, 'ended', attempt, f'{ended.reason.value} {ended.detail}')
     _credit(tables, attempt, task, ended.reason)
     specification = tables.specification(task)
     if specification.kind is job.Kind.WORKFLOW:
--- a/mulberrywalk/core/staging.py
+++ b/mulberrywalk/core/staging.py
@@ -42,6 +42,12 @@
     """
     step = tables.steps[name]
     needs = tables.step_specification(step)
+    if step.asked_at and not step.tickets:
+        # Nothing is known of it yet; an unanswered question lapses.
+        if advice.is_asking(tables, step):
+            return False
+    if next(tables.fleet.roomiest(needs.demand()), None) is None:
+        return False
     numbers = list(tables.waiting.steps.get(name, ()))
     if needs.is_gang and len(numbers) < needs.count:
         return False
--- a/mulberrywalk/entry/called.py
+++ b/mulberrywalk/entry/called.py
@@ -310,6 +310,10 @@
         self, seen: Seen, barred: dict[identity.AttemptId, str]
     ) -> None:
         now = clock.monotonic_ms()
+        if seen.ended:
+            # Lower ones were forgotten when another entry acknowledged them.
+            lowest = min(one.number for one in seen.ended)
+            self._acknowledged = max(self._acknowledged, lowest - 1)
         started = self._find_started(seen)
         ended = [
             event.AttemptEnd(
--- a/mulberrywalk/platform/entry.py
+++ b/mulberrywalk/platform/entry.py
@@ -59,24 +59,22 @@
         parts = self._parts
         if parts is None:
             raise AssertionError('the extension was not composed')
-        async with worker.create_client() as client:
-            calling = called.CalledTargets(
-                worker.Worker(client, parts.lines),
-                parts.leader,
-                parts.sessions,
-                parts.lines,
-            )
-            asking = adviser.Adviser(
-                worker.Advice(
-                    client, self._settings.advice or '', parts.lines
-                ),
-                parts.leader,
-                parts.lines,
-            )
-            async with anyio.create_task_group() as group:
-                group.start_soon(calling.run)
-                group.start_soon(asking.run)
-                group.start_soon(self._watch, parts)
+        clients = worker.Clients()
+        calling = called.CalledTargets(
+            worker.Worker(clients, parts.lines),
+            parts.leader,
+            parts.sessions,
+            parts.lines,
+        )
+        asking = adviser.Adviser(
+            worker.Advice(clients, self._settings.advice or '', parts.lines),
+            parts.leader,
+            parts.lines,
+        )
+        async with anyio.create_task_group() as group:
+            group.start_soon(calling.run)
+            group.start_soon(asking.run)
+            group.start_soon(self._watch, parts)
 
     async def _watch(self, parts: program.Parts) -> None:
         """Add the replicas of changed settings to those that are dialled."""
--- a/mulberrywalk/platform/worker.py
+++ b/mulberrywalk/platform/worker.py
@@ -19,8 +19,7 @@
 _LOOK_S = 0.9
 _ADVICE_S = 4.0
 _MS_PER_S = 1000
-_MOST_CONNECTIONS = 800
-_KEPT_CONNECTIONS = 200
+_MOST_CONNECTIONS = 24
 _IDLE_S = 20
 _PLACE = 'Mulberrywalk-Expected-Instance'
 _WRONG_LIFE = 421
@@ -35,17 +34,40 @@
 }
 
 
-def create_client() -> httpx.AsyncClient:
-    """Return the client that all calls of an entry share."""
-    return httpx.AsyncClient(
-        timeout=None,
-        trust_env=False,
-        limits=httpx.Limits(
-            max_connections=_MOST_CONNECTIONS,
-            max_keepalive_connections=_KEPT_CONNECTIONS,
-            keepalive_expiry=_IDLE_S,
-        ),
-    )
+class Clients:
+    """One HTTP client for each address that is called.
+
+    A client looks at all of its idle connections on each call, so that one
+    for all addresses would cost more the more there are.
+    """
+
+    def __init__(self) -> None:
+        """Start without clients."""
+        self._clients: dict[str, httpx.AsyncClient] = {}
+
+    def find(self, address: str) -> httpx.AsyncClient:
+        """Return the client of an address, host:port."""
+        client = self._clients.get(address)
+        if client is None:
+            client = httpx.AsyncClient(
+                base_url=f'http://{address}',
+                timeout=None,
+                trust_env=False,
+                verify=False,  # noqa: S501 - nothing is encrypted here.
+                limits=httpx.Limits(
+                    max_connections=_MOST_CONNECTIONS,
+                    max_keepalive_connections=_MOST_CONNECTIONS,
+                    keepalive_expiry=_IDLE_S,
+                ),
+            )
+            self._clients[address] = client
+        return client
+
+    async def close(self, address: str) -> None:
+        """Close the connections to an address that is called no more."""
+        client = self._clients.pop(address, None)
+        if client is not None:
+            await client.aclose()
 
 
 async def post(
@@ -70,10 +92,10 @@
     """Orders and looks as calls to workers."""
 
     def __init__(
-        self, client: httpx.AsyncClient, lines: journal.Journal
+        self, clients: Clients, lines: journal.Journal
     ) -> None:
-        """Use the client that is given."""
-        self._client = client
+        """Use the clients that are given."""
+        self._clients = clients
         self._lines = lines
 
     async def look(
@@ -153,8 +175,8 @@
         seconds: float,
     ) -> httpx.Response | None:
         return await post(
-            self._client,
-            f'http://{destination.address}/{path}',
+            self._clients.find(destination.address),
+            f'/{path}',
             body,
             {**_HEADERS, _PLACE: destination.target},
             seconds,
@@ -165,10 +187,10 @@
     """Questions as calls to the adviser of the platform."""
 
     def __init__(
-        self, client: httpx.AsyncClient, address: str, lines: journal.Journal
+        self, clients: Clients, address: str, lines: journal.Journal
     ) -> None:
         """Ask at an address, host:port."""
-        self._client = client
+        self._clients = clients
         self._address = address
         self._lines = lines
 
@@ -177,8 +199,8 @@
     ) -> tuple[tuple[identity.TargetId, str], ...] | None:
         """Return allowed workers with their tickets, or None on failure."""
         answered = await post(
-            self._client,
-            f'http://{self._address}/advise',
+            self._clients.find(self._address),
+            '/advise',
             {'step': step, 'workers': targets},
             _HEADERS,
             _ADVICE_S,
--- a/mulberrywalk/telemetry/journal.py
+++ b/mulberrywalk/telemetry/journal.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 import collections
+import contextlib
 import dataclasses
+import os
 import sys
 from collections.abc import Iterable
+from typing import Any
 
 import loguru
 import msgspec
@@ -13,10 +16,9 @@
 from . import clock
 
 _KEPT = 50_000
-_TEXT_FORMAT = (
-    '{time:HH:mm:ss.SSS} {level: <7} {extra[process]} '
-    '{extra[data_centre]} {message} {extra[ids]}'
-)
+_MS_PER_S = 1000
+# Lines of one kind that a process writes in a second.
+_LINES_PER_SECOND = 200
 
 
 class Line(msgspec.Struct, frozen=True):
@@ -54,6 +56,44 @@
     data_centre: str
 
 
+class Rates:
+    """Bounds the log lines of each kind, and counts those left out."""
+
+    def __init__(self) -> None:
+        """Start a first second."""
+        self._second = 0
+        self._written: collections.Counter[str] = collections.Counter()
+        self._left_out: collections.Counter[str] = collections.Counter()
+
+    def count(self, kind: str, now: int) -> int | None:
+        """Return how many of a kind were left out before, or None to omit.
+
+        now is a monotonic time in milliseconds.
+        """
+        if now // _MS_PER_S != self._second:
+            self._second = now // _MS_PER_S
+            self._written.clear()
+        self._written[kind] += 1
+        if self._written[kind] > _LINES_PER_SECOND:
+            self._left_out[kind] += 1
+            return None
+        return self._left_out.pop(kind, 0)
+
+
+class Output:
+    """Standard output that drops a line rather than wait for its reader."""
+
+    def __init__(self) -> None:
+        """Write to the standard output of the process."""
+        self._descriptor = sys.stdout.fileno()
+        os.set_blocking(self._descriptor, False)
+
+    def __call__(self, message: str) -> None:
+        """Write one line; what does not fit into the pipe is lost."""
+        with contextlib.suppress(BlockingIOError, BrokenPipeError):
+            os.write(self._descriptor, message.encode())
+
+
 class Journal:
     """Keeps the latest lines of a process and writes them to its log."""
 
@@ -62,8 +102,12 @@
         self.origin = origin
         self.clock = clock.HybridClock()
         self._lines: collections.deque[Line] = collections.deque(maxlen=_KEPT)
+        self._rates = Rates()
         self._logger = loguru.logger.bind(
-            process=origin.process, data_centre=origin.data_centre, ids={}
+            process=origin.process,
+            data_centre=origin.data_centre,
+            line=None,
+            left_out=0,
         )
 
     def record(self, what: str, detail: str = '', **ids: str) -> None:
@@ -81,17 +125,17 @@
     def keep(self, line: Line) -> None:
         """Add a line as it is, also one that a target has sent."""
         self._lines.append(line)
-        present = {
-            name: text
-            for name, text in msgspec.structs.asdict(line).items()
-            if text and name in {'job', 'task', 'attempt', 'target', 'clock'}
-        }
+        left_out = self._rates.count(line.what, clock.monotonic_ms())
+        if left_out is None:
+            return
         message = f'{line.what} {line.detail}'.strip()
-        self._logger.bind(ids=present).info(message)
+        self._logger.bind(line=line, left_out=left_out).info(message)
 
     def warn(self, message: str) -> None:
         """Log something an operator should look at."""
-        self._logger.warning(message)
+        left_out = self._rates.count(message, clock.monotonic_ms())
+        if left_out is not None:
+            self._logger.bind(left_out=left_out).warning(message)
 
     def find(self, wanted: Filter) -> list[Line]:
         """Return the lines kept that match."""
@@ -109,12 +153,51 @@
 
 
 def open_log(*, is_json: bool) -> None:
-    """Send the log of this process to standard error."""
+    """Send the log of this process to standard output."""
     loguru.logger.remove()
-    if is_json:
-        loguru.logger.add(sys.stderr, serialize=True)
-    else:
-        loguru.logger.add(sys.stderr, format=_TEXT_FORMAT)
+    form = _format_json if is_json else _format_text
+    loguru.logger.add(Output(), format=form, catch=False)
+
+
+def _format_json(record: Any) -> str:
+    extra = record['extra']
+    fields = {
+        'at': record['time'].timestamp(),
+        'level': record['level'].name,
+        'process': extra['process'],
+        'message': record['message'],
+    }
+    if extra['line'] is not None:
+        fields.update(_ids_of(extra['line']))
+    if extra['left_out']:
+        fields['left_out'] = extra['left_out']
+    return _escape(msgspec.json.encode(fields).decode())
+
+
+def _format_text(record: Any) -> str:
+    extra = record['extra']
+    ids = _ids_of(extra['line']) if extra['line'] is not None else {}
+    shown = ' '.join(f'{name}={text}' for name, text in ids.items())
+    return _escape(
+        f'{record["time"]:%H:%M:%S.%f} {record["level"].name} '
+        f'{extra["process"]} {record["message"]} {shown}'
+    )
+
+
+def _escape(text: str) -> str:
+    # The logger takes what a format function returns as a template.
+    doubled = text.replace('{', '{{').replace('}', '}}').replace('<', r'\<')
+    return f'{doubled}\n'
+
+
+def _ids_of(line: Line) -> dict[str, str]:
+    named = {
+        'job': line.job,
+        'task': line.task,
+        'attempt': line.attempt,
+        'target': line.target,
+    }
+    return {name: text for name, text in named.items() if text}
 
 
 def _matches(line: Line, wanted: Filter) -> bool:
--- a/mulberrywalk/transport/channel.py
+++ b/mulberrywalk/transport/channel.py
@@ -16,6 +16,7 @@
 
 SILENCE_S = 1.5
 PULSE_S = 0.3
+GATHER_S = 0.002
 MESSAGE_BYTES = 268_435_456
 SERVICE = 'mulberrywalk.Replica'
 PEER = 'Peer'
@@ -52,8 +53,11 @@
 class Outbox(Generic[Sent]):
     """Messages that wait to be sent in one batch, bounded in number."""
 
-    def __init__(self, limit: int = 100_000) -> None:
-        """Start empty."""
+    def __init__(
+        self, limit: int = 100_000, gather_s: float = GATHER_S
+    ) -> None:
+        """Start empty; what comes within gather_s leaves together."""
+        self._gather_s = gather_s
         self._messages: collections.deque[Sent] = collections.deque(
             maxlen=limit
         )
@@ -69,6 +73,7 @@
         if not self._messages:
             with anyio.move_on_after(seconds):
                 await self._filled.wait()
+                await anyio.sleep(self._gather_s)
         self._filled = anyio.Event()
         taken = tuple(self._messages)
         self._messages.clear()
