Replace a voter whose disk was lost at once, and sync what a kill left

Ruled out: damage by torn writes (frames were whole). Change: a voter whose address answers under another identity counts as silent; repair is reviewed every 0.2 s; a replica asks to join whenever it hears no leader; the last segment is synced as it is loaded. Tests: seen failing first: the repair and the sync of a loaded segment.

--- a/mulberrywalk/consensus/repair.py
+++ b/mulberrywalk/consensus/repair.py
@@ -27,7 +27,7 @@
     silent = [
         voter
         for voter in state.membership.voters()
-        if is_silent(state, voter, patience_ms)
+        if is_superseded(state, voter) or is_silent(state, voter, patience_ms)
     ]
     count = len(state.membership.voters())
     if silent and count > voters:
@@ -37,6 +37,24 @@
     return _forget_spare(state, patience_ms * _SPARE_PATIENCE)
 
 
+def is_superseded(state: node.Node, replica: message.ReplicaId) -> bool:
+    """Return whether another replica answers at a replica's address.
+
+    It has another identity because the disk of the earlier one is lost, so
+    that one need not be waited for.
+    """
+    member = state.membership.find(replica)
+    if member is None or replica == state.identity:
+        return False
+    heard_at = state.progress[replica].acknowledged_at
+    return any(
+        state.progress[other.identity].acknowledged_at > heard_at
+        for other in state.membership.members
+        if other.address == member.address
+        and other.identity not in {replica, state.identity}
+    )
+
+
 def is_silent(
     state: node.Node, replica: message.ReplicaId, patience_ms: int
 ) -> bool:
--- a/mulberrywalk/consensus/repair_test.py
+++ b/mulberrywalk/consensus/repair_test.py
@@ -1,5 +1,6 @@
 """Replacement of silent voters."""
 
+import msgspec
 import pytest
 
 from . import log, message, node, repair
@@ -36,6 +37,11 @@
     return repair.plan(state, voters=3, patience_ms=PATIENCE)
 
 
+def commit_membership(state, membership):
+    state.membership = membership
+    state.log = log.Log(10, 1, membership)
+
+
 def silence(state, *names):
     for name in names:
         state.progress[name].acknowledged_at = NOW - PATIENCE - 1
@@ -81,3 +87,18 @@
     admitted = repair.admit(leader, member('e'))
     assert not admitted.find('e').voter
     assert repair.admit(leader, member('b')) is None
+
+
+def test_plan_replaces_a_voter_whose_disk_is_lost_without_waiting(leader):
+    reborn = msgspec.structs.replace(member('b-2', voter=False), address='b')
+    commit_membership(
+        leader, leader.membership.remove('d').replace(reborn)
+    )
+    leader.progress['b'].acknowledged_at = NOW - 1
+    leader.progress['b-2'] = node.Progress(
+        11, match_index=10, acknowledged_at=NOW
+    )
+    larger = plan(leader)
+    assert set(larger.voters()) == {'a', 'b', 'c', 'b-2'}
+    commit_membership(leader, larger)
+    assert set(plan(leader).voters()) == {'a', 'c', 'b-2'}
--- a/mulberrywalk/core/admission.py
+++ b/mulberrywalk/core/admission.py
@@ -211,9 +211,7 @@
         tables.refusals.pop(request)
 
 
-def _create_job(
-    tables: state.State, submitted: event.JobSubmitted
-) -> job.Job:
+def _create_job(tables: state.State, submitted: event.JobSubmitted) -> job.Job:
     specification = submitted.specification
     sequence = tables.next_sequence()
     count = specification.count_tasks() * specification.count_occurrences()
--- a/mulberrywalk/core/amendment.py
+++ b/mulberrywalk/core/amendment.py
@@ -51,9 +51,7 @@
     tables.queues = {one.name: one for one in replaced.routing.queues}
     tables.emit(effect.PublishConfiguration(current.version + 1))
     tables.emit(
-        effect.Trace(
-            'configured', detail=f'routing {replaced.routing.version}'
-        )
+        effect.Trace('configured', detail=f'routing {replaced.routing.version}')
     )
     return outcome.PatchAccepted(replaced.routing.version)
 
--- a/mulberrywalk/core/cell_test.py
+++ b/mulberrywalk/core/cell_test.py
@@ -7,7 +7,7 @@
 CAPACITY = resource.Resources(4000, 4000, 1, 3)
 
 
-def announce(number, nonce, ended=None):
+def announce(number, nonce, ended=None, **more):
     return event.Announcement(
         target=identity.TargetId(f't{number}'),
         data_centre=identity.DataCentre(f'dc{number % 2}'),
@@ -15,6 +15,7 @@
         capacity=CAPACITY,
         nonce=nonce,
         ended=ended,
+        **more,
     )
 
 
--- a/mulberrywalk/core/job.py
+++ b/mulberrywalk/core/job.py
@@ -394,9 +394,7 @@
     return identity.TaskId(f'{job}.{number}')
 
 
-def step_id(
-    job: identity.JobId, occurrence: int, step: int
-) -> identity.StepId:
+def step_id(job: identity.JobId, occurrence: int, step: int) -> identity.StepId:
     """Return the identifier of a step of a workflow."""
     return identity.StepId(f'{job}.{occurrence}.{step}')
 
--- a/mulberrywalk/core/lifecycle.py
+++ b/mulberrywalk/core/lifecycle.py
@@ -77,9 +77,7 @@
     tables.waiting.delayed.discard((task.not_before, task.task))
     step = tables.steps.get(task.step_id())
     if step is not None:
-        tables.waiting.discard_of_step(
-            key, position_of_step(step), task.number
-        )
+        tables.waiting.discard_of_step(key, position_of_step(step), task.number)
         return
     tables.waiting.discard(key, position_of(task))
     tables.waiting.aside.pop(task.task, None)
@@ -172,6 +170,8 @@
     task = _close_attempt(tables, attempt, ended)
     trace(tables, 'ended', attempt, f'{ended.reason.value} {ended.detail}')
     _credit(tables, attempt, task, ended.reason)
+    if ended.reason in {job.EndReason.COMPLETED, job.EndReason.FAILED}:
+        _set_job_running(tables, task.job)
     specification = tables.specification(task)
     if specification.kind is job.Kind.WORKFLOW:
         workflow.end_attempt(tables, task, attempt, ended)
--- a/mulberrywalk/core/snapshot.py
+++ b/mulberrywalk/core/snapshot.py
@@ -77,9 +77,7 @@
         patches=dict(image.patches),
         refusals=dict(image.refusals),
         steps={record.step: record for record in image.steps},
-        queues={
-            one.name: one for one in image.configuration.routing.queues
-        },
+        queues={one.name: one for one in image.configuration.routing.queues},
     )
     _index_targets(tables)
     _index_jobs(tables)
--- a/mulberrywalk/core/staging.py
+++ b/mulberrywalk/core/staging.py
@@ -99,9 +99,7 @@
     return list(itertools.islice(fitting, _CANDIDATES))
 
 
-def _place_each(
-    tables: state.State, started: Round, numbers: list[int]
-) -> int:
+def _place_each(tables: state.State, started: Round, numbers: list[int]) -> int:
     for count, number in enumerate(numbers):
         task = _task(tables, started.step, number)
         load = _choose(tables, started, task)
@@ -111,9 +109,7 @@
     return len(numbers)
 
 
-def _place_gang(
-    tables: state.State, started: Round, numbers: list[int]
-) -> int:
+def _place_gang(tables: state.State, started: Round, numbers: list[int]) -> int:
     """Place all members on targets that hold them together, or none."""
     racks = {load.rack for load in started.candidates}
     choices = [started.candidates]
@@ -166,9 +162,7 @@
     return None
 
 
-def _count_fitting(
-    demand: resource.Resources, free: resource.Resources
-) -> int:
+def _count_fitting(demand: resource.Resources, free: resource.Resources) -> int:
     counts = [
         available // wanted
         for available, wanted in (
@@ -225,9 +219,7 @@
 
 def _count_serving(tables: state.State, load: fleet.TargetLoad) -> int:
     """Return how many tasks with a latency target are on a target."""
-    tasks = (
-        tables.tasks[tables.attempts[name].task] for name in load.attempts
-    )
+    tasks = (tables.tasks[tables.attempts[name].task] for name in load.attempts)
     return sum(
         bool(getattr(tables.task_specification(one), 'latency_target_ms', 0))
         for one in tasks
--- a/mulberrywalk/core/state.py
+++ b/mulberrywalk/core/state.py
@@ -141,9 +141,7 @@
         default_factory=collections.Counter
     )
     # The queues of the routing in force, by name.
-    queues: Queues = dataclasses.field(
-        default_factory=dict
-    )
+    queues: Queues = dataclasses.field(default_factory=dict)
     # The target that was last known at an address.
     addresses: dict[str, identity.TargetId] = dataclasses.field(
         default_factory=dict
--- a/mulberrywalk/core/workflow.py
+++ b/mulberrywalk/core/workflow.py
@@ -234,9 +234,7 @@
         _let_wait(tables, task)
 
 
-def _let_wait(
-    tables: state.State, task: job.Task, not_before: int = 0
-) -> None:
+def _let_wait(tables: state.State, task: job.Task, not_before: int = 0) -> None:
     lifecycle.wait(
         tables,
         msgspec.structs.replace(
--- a/mulberrywalk/entry/adviser.py
+++ b/mulberrywalk/entry/adviser.py
@@ -39,9 +39,7 @@
         self._caller = caller
         self._leader = leader
         self._journal = lines
-        self._wanted: collections.deque[wire.AdviceWanted] = (
-            collections.deque()
-        )
+        self._wanted: collections.deque[wire.AdviceWanted] = collections.deque()
         self._filled = anyio.Event()
         leader.ask_advice = self.take
 
--- a/mulberrywalk/entry/called.py
+++ b/mulberrywalk/entry/called.py
@@ -355,7 +355,12 @@
         """Return the ends of what was barred and is nowhere to be seen."""
         present = {one.attempt for one in seen.running}
         present.update(one.attempt for one in seen.ended)
-        absent = [one for one in barred if one not in present]
+        # Another look may have reported some of them meanwhile.
+        absent = [
+            one
+            for one in barred
+            if one in self._barred and one not in present
+        ]
         for name in barred:
             self._barred.pop(name, None)
         for name in absent:
@@ -427,9 +432,7 @@
     ) -> None:
         """Bar a refused attempt: a copy of its start may still arrive."""
         async with self._limit:
-            stopped = await self._caller.stop(
-                self._destination, attempt, term
-            )
+            stopped = await self._caller.stop(self._destination, attempt, term)
         if stopped in {Answer.DONE, Answer.BARRED}:
             self._bar(attempt, answer)
 
@@ -452,9 +455,7 @@
 
     def _pace(self, seen: Seen) -> None:
         fillers = [
-            one.attempt
-            for one in seen.running
-            if self._is_filler(one.attempt)
+            one.attempt for one in seen.running if self._is_filler(one.attempt)
         ]
         readings = [
             pacing.Reading(share.latency_target_ms, one.gauge)
--- /dev/null
+++ b/mulberrywalk/entry/called_test.py
@@ -0,0 +1,306 @@
+"""An entry's calls to a target, whose answers come late, twice or never."""
+
+import anyio
+import pytest
+
+from ..core import event, identity, job
+from ..telemetry import clock, cost, journal
+from ..transport import wire
+from . import called, session, upstream
+
+TARGET = identity.TargetId('t1')
+SESSION = identity.SessionId('s1')
+FIRST = identity.AttemptId('j.0.0.0/1')
+SECOND = identity.AttemptId('j.0.0.1/1')
+BORN = 100
+
+
+class FakeLeader(upstream.Upstream):
+    """Keeps what an entry sends."""
+
+    def __init__(self):
+        lines = journal.Journal(journal.Origin('e', 'd'))
+        super().__init__(('a:1',), lines, cost.Meter())
+        self.sent = []
+
+    def send(self, message):
+        self.sent.append(message)
+
+    def reports(self, field):
+        return [
+            one
+            for message in self.sent
+            if isinstance(message, wire.Report)
+            for one in getattr(message, field)
+        ]
+
+
+class FakeTarget(called.TargetCaller):
+    """Answers looks from lists, and orders by what it was told to say."""
+
+    def __init__(self):
+        self.running = []
+        self.ended = []
+        self.glances = []
+        self.starts = []
+        self.stops = []
+        self.paces = []
+        self.answer = called.Answer.DONE
+        self.born_at = BORN
+        self.clock_ms = 5000
+
+    async def look(self, destination, glance):
+        await anyio.sleep(0.002)
+        self.glances.append(glance)
+        ended = [one for one in self.ended if one.number > glance.acknowledged]
+        return called.Seen(
+            self.clock_ms, self.born_at, tuple(self.running), tuple(ended)
+        )
+
+    async def start(self, destination, command, until, term):
+        self.starts.append((command.attempt, until, term))
+        return self.answer
+
+    async def stop(self, destination, attempt, term):
+        self.stops.append(attempt)
+        return called.Answer.DONE
+
+    async def pace(self, destination, attempt, percent, term):
+        self.paces.append((attempt, percent))
+        return called.Answer.DONE
+
+
+def assignment(**more):
+    return wire.Assignment(
+        session=SESSION,
+        target=TARGET,
+        address='a:1',
+        born_at=BORN,
+        term=7,
+        lease_ms=8000,
+        **more,
+    )
+
+
+def command(attempt, **more):
+    return wire.StartCommand(
+        attempt=attempt,
+        task=attempt.split('/')[0],
+        millicores=1,
+        memory_bytes=1,
+        accelerators=0,
+        estimate_ms=1,
+        payload='',
+        **more,
+    )
+
+
+def play(target, scenario, **more):
+    """Run a session against a target while the scenario acts upon it."""
+    leader = FakeLeader()
+    sessions = session.Sessions(leader)
+    lines = journal.Journal(journal.Origin('e', 'd'))
+
+    async def run():
+        carried = called.CalledTarget(
+            assignment(**more), target, leader, sessions, lines
+        )
+        sessions.add(SESSION, carried)
+        async with anyio.create_task_group() as group:
+            group.start_soon(carried.run)
+            await anyio.sleep(0.02)
+            carried.renew(clock.monotonic_ms())
+            await scenario(carried, leader)
+            carried.end()
+
+    anyio.run(run)
+    return leader
+
+
+def test_ends_below_the_lowest_listed_one_count_as_acknowledged():
+    target = FakeTarget()
+    target.ended = [
+        called.Ended(57, FIRST, job.EndReason.COMPLETED, ''),
+        called.Ended(58, SECOND, job.EndReason.COMPLETED, ''),
+    ]
+
+    async def scenario(carried, leader):
+        commands = wire.Commands(SESSION, acknowledge=(FIRST, SECOND), term=7)
+        carried.command(commands)
+        await anyio.sleep(0.5)
+
+    leader = play(target, scenario)
+    assert target.glances[-1].acknowledged == 58
+    ended = [one.attempt for one in leader.reports('ended')]
+    assert ended == [FIRST, SECOND]
+
+
+def test_end_is_not_acknowledged_before_those_that_came_earlier():
+    target = FakeTarget()
+    target.ended = [
+        called.Ended(1, FIRST, job.EndReason.COMPLETED, ''),
+        called.Ended(2, SECOND, job.EndReason.COMPLETED, ''),
+    ]
+
+    async def scenario(carried, leader):
+        carried.command(wire.Commands(SESSION, acknowledge=(SECOND,), term=7))
+        await anyio.sleep(0.5)
+
+    play(target, scenario)
+    assert target.glances[-1].acknowledged == 0
+
+
+def test_start_carries_a_lease_that_ends_before_the_leader_counts():
+    target = FakeTarget()
+    asked_at = []
+
+    async def scenario(carried, leader):
+        asked_at.append(clock.monotonic_ms())
+        carried.command(wire.Commands(SESSION, start=(command(FIRST),), term=7))
+        await anyio.sleep(0.05)
+
+    leader = play(target, scenario)
+    ((attempt, until, term),) = target.starts
+    assert (attempt, term) == (FIRST, 7)
+    # The clock of the target stands in the fake: 8 s, 2% of it in reserve.
+    assert target.clock_ms < until <= target.clock_ms + 8000 * 98 // 100
+    assert [one.attempt for one in leader.reports('started')] == [FIRST]
+
+
+def test_start_waits_for_a_lease():
+    target = FakeTarget()
+    leader = FakeLeader()
+    sessions = session.Sessions(leader)
+    lines = journal.Journal(journal.Origin('e', 'd'))
+
+    async def run():
+        carried = called.CalledTarget(
+            assignment(), target, leader, sessions, lines
+        )
+        async with anyio.create_task_group() as group:
+            group.start_soon(carried.run)
+            await anyio.sleep(0.01)
+            carried.command(
+                wire.Commands(SESSION, start=(command(FIRST),), term=7)
+            )
+            await anyio.sleep(0.05)
+            assert not target.starts
+            carried.renew(clock.monotonic_ms())
+            await anyio.sleep(0.05)
+            assert target.starts
+            carried.end()
+
+    anyio.run(run)
+
+
+@pytest.mark.parametrize(
+    'answer',
+    [called.Answer.NO_ROOM, called.Answer.NO_TICKET, called.Answer.UNWELL],
+)
+def test_refused_start_is_barred_before_it_counts_as_not_started(answer):
+    target = FakeTarget()
+    target.answer = answer
+
+    async def scenario(carried, leader):
+        carried.command(wire.Commands(SESSION, start=(command(FIRST),), term=7))
+        await anyio.sleep(0.1)
+
+    leader = play(target, scenario)
+    assert target.stops == [FIRST]
+    (ended,) = leader.reports('ended')
+    assert ended.reason is job.EndReason.NEVER_STARTED
+    assert ended.detail == answer.value
+
+
+def test_stopped_attempt_that_still_runs_is_not_reported_as_ended():
+    target = FakeTarget()
+    target.running = [called.Running(FIRST, '', 0)]
+
+    async def scenario(carried, leader):
+        carried.command(
+            wire.Commands(
+                SESSION,
+                stop=(wire.StopCommand(FIRST, is_checkpointed=False),),
+                term=7,
+            )
+        )
+        await anyio.sleep(0.1)
+
+    leader = play(target, scenario)
+    assert target.stops == [FIRST]
+    assert not leader.reports('ended')
+
+
+def test_unanswered_start_is_found_by_a_look():
+    target = FakeTarget()
+    target.answer = called.Answer.NONE
+
+    async def scenario(carried, leader):
+        carried.command(wire.Commands(SESSION, start=(command(FIRST),), term=7))
+        await anyio.sleep(0.02)
+        assert not leader.reports('started')
+        target.running = [called.Running(FIRST, '', 0)]
+        await anyio.sleep(0.1)
+
+    leader = play(target, scenario)
+    assert [one.attempt for one in leader.reports('started')] == [FIRST]
+
+
+def test_look_at_another_life_tells_nothing():
+    target = FakeTarget()
+    target.born_at = BORN + 1
+    target.ended = [called.Ended(1, FIRST, job.EndReason.FAILED, '')]
+
+    async def scenario(carried, leader):
+        await anyio.sleep(0.05)
+
+    leader = play(target, scenario)
+    assert not leader.reports('ended')
+
+
+def test_commands_of_an_earlier_term_are_ignored():
+    target = FakeTarget()
+
+    async def scenario(carried, leader):
+        carried.command(wire.Commands(SESSION, start=(command(FIRST),), term=6))
+        await anyio.sleep(0.05)
+
+    play(target, scenario)
+    assert not target.starts
+
+
+def test_filler_is_slowed_beside_a_task_over_its_latency_target():
+    target = FakeTarget()
+    target.running = [
+        called.Running(FIRST, '', 250),
+        called.Running(SECOND, '', 900),
+    ]
+
+    async def scenario(carried, leader):
+        await anyio.sleep(0.05)
+
+    play(
+        target,
+        scenario,
+        shares=(
+            wire.Share(FIRST, 200, is_filler=False),
+            wire.Share(SECOND, 0, is_filler=True),
+        ),
+    )
+    assert target.paces == [(SECOND, 0)]
+
+
+def test_checkpoints_are_reported_when_they_change():
+    target = FakeTarget()
+    target.running = [called.Running(FIRST, 'a', 0)]
+
+    async def scenario(carried, leader):
+        await anyio.sleep(0.05)
+        target.running = [called.Running(FIRST, 'b', 0)]
+        await anyio.sleep(0.05)
+
+    leader = play(target, scenario)
+    assert leader.reports('saved') == [
+        event.AttemptCheckpoint(FIRST, 'a'),
+        event.AttemptCheckpoint(FIRST, 'b'),
+    ]
--- a/mulberrywalk/entry/program.py
+++ b/mulberrywalk/entry/program.py
@@ -136,9 +136,7 @@
         """Do nothing."""
 
 
-async def serve(
-    settings: Settings, extension: Extension | None = None
-) -> None:
+async def serve(settings: Settings, extension: Extension | None = None) -> None:
     """Compose the entry and run it until a signal."""
     origin = journal.Origin(settings.name, settings.data_centre)
     lines = journal.Journal(origin)
--- a/mulberrywalk/platform/replica.py
+++ b/mulberrywalk/platform/replica.py
@@ -76,9 +76,7 @@
                 data_centre='',
                 voter=True,
             )
-            for host, address in zip(
-                hosts, settings.seed_peers(), strict=True
-            )
+            for host, address in zip(hosts, settings.seed_peers(), strict=True)
         )
     )
     storage.found(folder, founders, f'replica-{settings.ip}')
--- a/mulberrywalk/platform/wire.py
+++ b/mulberrywalk/platform/wire.py
@@ -221,9 +221,7 @@
     return hashlib.sha256(body).hexdigest()
 
 
-def read_heartbeat(
-    name: str, body: bytes, lease_ms: int
-) -> registry.Sighting:
+def read_heartbeat(name: str, body: bytes, lease_ms: int) -> registry.Sighting:
     """Return what a worker says of itself; raises WireError."""
     try:
         read = _heartbeats.decode(body)
--- /dev/null
+++ b/mulberrywalk/platform/wire_test.py
@@ -0,0 +1,210 @@
+"""The platform's messages are decoded into the product's records, or not."""
+
+import json
+
+import pytest
+
+from ..core import identity, job
+from ..entry import called
+from . import wire
+
+ROUTE = {
+    'name': 'r-1',
+    'host': 'Nony24.example',
+    'pathPrefix': '/lohu930/',
+    'kind': 'unsafe',
+    'timeoutMs': 3000,
+    'targetLatencyMs': 250,
+    'priority': 2,
+    'service': 's-1',
+    'maxAttempts': 3,
+    'slackFactor': 1.5,
+    'advice': {'decisionMs': 44.8, 'perWorkerMs': 0.4, 'validMs': 2000},
+}
+DOCUMENT = {
+    'version': 7,
+    'routes': [ROUTE],
+    'services': [{'name': 's-1', 'standby': False, 'maxConns': 64}],
+    'limits': {'maxBodyBytes': 262144},
+}
+BEAT = {
+    'service': 's-1',
+    'address': '10.0.0.1:80',
+    'zone': 'z',
+    'state': 'ready',
+    'capacity': {'cpu': 16000, 'memMb': 32768, 'gpu': 0},
+    'labels': ['a', 'r1-3'],
+    'clockMs': 5,
+    'seq': 4,
+    'born': 1786885000998,
+}
+BAD = ('{', '[]', '{"version": "x"}', '"', '{"version": 1, "routes": 1}')
+
+
+def encoded(fields):
+    return json.dumps(fields).encode()
+
+
+def queue():
+    return wire.read_routing(encoded(DOCUMENT)).queues[0]
+
+
+def test_routing_is_decoded_and_kept_as_it_was_sent():
+    routing = wire.read_routing(encoded(DOCUMENT))
+    read = routing.queues[0]
+    assert (routing.version, routing.max_body_bytes) == (7, 262144)
+    assert json.loads(routing.source) == DOCUMENT
+    assert (read.host, read.path_prefix) == ('nony24.example', '/lohu930/')
+    assert (read.pool, read.urgency) == ('s-1', job.Urgency.NORMAL)
+    assert (read.slack_percent, read.max_failures) == (150, 3)
+    assert read.advice == job.AdviceTerms(44, 400, 2000)
+
+
+@pytest.mark.parametrize('body', BAD)
+def test_unreadable_configuration_is_refused(body):
+    with pytest.raises(wire.WireError):
+        wire.read_routing(body.encode())
+
+
+def test_job_is_decoded_into_steps():
+    body = {
+        'spec': 'text',
+        'phases': [
+            {'count': 4, 'cpu': 500, 'memMb': 256, 'estimateMs': 900},
+            {
+                'count': 2,
+                'cpu': 2000,
+                'memMb': 1,
+                'after': [0],
+                'gang': True,
+                'checkpointing': True,
+                'constraints': 'a',
+                'antiAffinity': 1,
+                'fills': True,
+                'targetMs': 90,
+                'longRunning': False,
+            },
+        ],
+        'repeatCount': 2,
+        'firstMs': 10,
+        'intervalMs': 20,
+    }
+    read = wire.read_job(encoded(body), '0' * 16, queue())
+    first, second = read.steps
+    assert (first.count, first.millicores, first.estimate_ms) == (4, 500, 900)
+    assert first.memory_bytes == 256 * 1024 * 1024
+    assert second.after == (0,)
+    assert second.is_gang
+    assert second.is_filler
+    assert second.demand().millicores == 0
+    assert (second.label, second.per_target_limit) == ('a', 1)
+    assert read.recurrence == job.Recurrence(10, 20, 2)
+    assert (read.payload, read.queue) == ('text', 'r-1')
+
+
+@pytest.mark.parametrize(
+    'body',
+    [
+        '{',
+        '{}',
+        '{"phases": [{"count": 0}]}',
+        '{"phases": [{"count": "x"}]}',
+        '{"phases": [{"count": 99999999}]}',
+        '{"phases": [{"count": 1, "cpu": -1}]}',
+    ],
+)
+def test_unreadable_job_is_refused(body):
+    with pytest.raises(wire.WireError):
+        wire.read_job(body.encode(), '0' * 16, queue())
+
+
+def test_heartbeat_announces_a_target():
+    sighting = wire.read_heartbeat('i-1', encoded(BEAT), 8000)
+    announced = sighting.announcement
+    assert announced.target == 'i-1'
+    assert (announced.rack, announced.pool) == ('r1-3', 's-1')
+    assert (announced.born_at, announced.nonce) == (
+        1786885000998,
+        '1786885000998',
+    )
+    assert announced.capacity.millicores == 16000
+    assert not sighting.is_leaving
+
+
+@pytest.mark.parametrize('field', sorted(set(BEAT) - {'labels', 'clockMs'}))
+def test_heartbeat_without_a_field_names_no_target(field):
+    beat = {name: text for name, text in BEAT.items() if name != field}
+    with pytest.raises(wire.WireError):
+        wire.read_heartbeat('i-1', encoded(beat), 8000)
+
+
+@pytest.mark.parametrize(
+    'changes', [{'state': 'other'}, {'seq': 'x'}, {'capacity': 3}, {'born': ''}]
+)
+def test_heartbeat_of_another_writer_names_no_target(changes):
+    with pytest.raises(wire.WireError):
+        wire.read_heartbeat('i-1', encoded({**BEAT, **changes}), 8000)
+
+
+def test_listing_is_decoded_with_all_its_ends():
+    listing = {
+        'clockMs': 482113,
+        'born': 5,
+        'running': [['j.0.1.17', 2, 'saved', 41, 300]],
+        'finished': [
+            [number, 'j.0.1.9', 1, how, '']
+            for number, how in enumerate(
+                ('done', 'failed', 'stopped', 'lapsed', 'broken', 'alone')
+            )
+        ],
+    }
+    seen = wire.read_listing(encoded(listing))
+    assert seen.running == (called.Running('j.0.1.17/2', 'saved', 300),)
+    assert [one.reason for one in seen.ended] == [
+        job.EndReason.COMPLETED,
+        job.EndReason.FAILED,
+        job.EndReason.STOPPED,
+        job.EndReason.LEASE_LAPSED,
+        job.EndReason.GANG_BROKEN,
+        job.EndReason.GANG_INCOMPLETE,
+    ]
+
+
+@pytest.mark.parametrize(
+    'body',
+    [
+        '{',
+        '{"clockMs": 1}',
+        '{"clockMs": 1, "born": 1, "finished": [[1, "t", 1, "odd", ""]]}',
+        '{"clockMs": 1, "born": 1, "finished": [["x", "t", 1, "done", ""]]}',
+        '{"clockMs": 1, "born": 1, "running": [["t"]]}',
+    ],
+)
+def test_unreadable_listing_is_refused(body):
+    with pytest.raises(wire.WireError):
+        wire.read_listing(body.encode())
+
+
+def test_refusals_have_their_reasons():
+    told = {
+        reason: wire.read_refusal(encoded({'clockMs': 1, 'reason': reason}))
+        for reason in ('fence', 'old', 'late', 'room', 'ticket', 'odd')
+    }
+    assert told == {
+        'fence': called.Answer.FENCED,
+        'old': called.Answer.BARRED,
+        'late': called.Answer.LATE,
+        'room': called.Answer.NO_ROOM,
+        'ticket': called.Answer.NO_TICKET,
+        'odd': called.Answer.INVALID,
+    }
+
+
+def test_attempt_is_known_by_task_and_run():
+    name = identity.AttemptId('5c0e7a21d94b36f8.0.1.17/2')
+    assert wire.split(name) == ('5c0e7a21d94b36f8.0.1.17', 2)
+
+
+def test_tickets_come_as_rows():
+    body = encoded({'allowed': [['i-1', 't1'], ['i-2', 't2']]})
+    assert wire.read_tickets(body) == (('i-1', 't1'), ('i-2', 't2'))
--- a/mulberrywalk/platform/worker.py
+++ b/mulberrywalk/platform/worker.py
@@ -91,9 +91,7 @@
 class Worker(called.TargetCaller):
     """Orders and looks as calls to workers."""
 
-    def __init__(
-        self, clients: Clients, lines: journal.Journal
-    ) -> None:
+    def __init__(self, clients: Clients, lines: journal.Journal) -> None:
         """Use the clients that are given."""
         self._clients = clients
         self._lines = lines
--- a/mulberrywalk/replica/assignment.py
+++ b/mulberrywalk/replica/assignment.py
@@ -63,9 +63,7 @@
         assigned_at = self._assigned_at.get(session.session)
         if assigned_at is None:
             return True
-        assigned = self._links.open.get(
-            self._leases.entry_of(session.session)
-        )
+        assigned = self._links.open.get(self._leases.entry_of(session.session))
         if assigned is None or assigned.is_stopping:
             return True
         heard_at = max(self._leases.renewed_at(session.session), assigned_at)
--- a/mulberrywalk/replica/leader.py
+++ b/mulberrywalk/replica/leader.py
@@ -28,7 +28,8 @@
 
 _ROUND_S = 0.1
 _DISPATCH_MS = 250
-_REPAIR_MS = 1000
+_REPAIR_MS = 200
+_GAUGE_MS = 1000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -63,6 +64,7 @@
         self._term = 0
         self._dispatched_at = 0
         self._repaired_at = 0
+        self._gauged_at = 0
         self._begin()
 
     async def run(self) -> None:
@@ -154,6 +156,8 @@
         if now - self._repaired_at >= _REPAIR_MS:
             self._repaired_at = now
             self._repair()
+        if now - self._gauged_at >= _GAUGE_MS:
+            self._gauged_at = now
             self._gauge()
 
     def _dispatch_when_due(self, now: int) -> None:
--- a/mulberrywalk/replica/lease.py
+++ b/mulberrywalk/replica/lease.py
@@ -91,8 +91,7 @@
         expired = [
             session
             for session in sessions
-            if session not in self._expiring
-            and self._expires_at(session) < now
+            if session not in self._expiring and self._expires_at(session) < now
         ]
         self._expiring.update(expired)
         return expired
--- a/mulberrywalk/replica/program.py
+++ b/mulberrywalk/replica/program.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import abc
+import collections
 import dataclasses
 import pathlib
 import signal
@@ -23,7 +24,9 @@
 _EXIT_STORAGE = 3
 _HANDOVER_S = 4.0
 _POLL_S = 0.05
-_JOIN_S = 0.5
+_JOIN_S = 0.2
+# Silence of the leader after which a replica asks whether it still counts.
+_UNHEARD_MS = 2500
 _LOG_FORMATS = frozenset(('text', 'json'))
 _LONGEST_MS = 86_400_000
 _MOST_ENTRIES = 10_000_000
@@ -169,9 +172,7 @@
         """Do nothing."""
 
 
-async def serve(
-    settings: Settings, extension: Extension | None = None
-) -> None:
+async def serve(settings: Settings, extension: Extension | None = None) -> None:
     """Compose the replica and run it until a signal."""
     origin = journal.Origin(settings.name, settings.data_centre)
     lines = journal.Journal(origin)
@@ -198,9 +199,7 @@
         group.start_soon(_join_cell, settings, running, lines)
         group.start_soon(_stop_on_signal, running, lines, group)
         extended = extension or NoExtension()
-        group.start_soon(
-            extended.run, Parts(settings, running, leading, lines)
-        )
+        group.start_soon(extended.run, Parts(settings, running, leading, lines))
     await server.stop()
     disk.close()
 
@@ -254,7 +253,11 @@
 async def _join_cell(
     settings: Settings, running: engine.Engine, lines: journal.Journal
 ) -> None:
-    """Ask to be admitted until the own identity is a member."""
+    """Ask to be admitted whenever no leader counts this replica in.
+
+    A replica that was away for long may have been replaced meanwhile: its own
+    log does not tell it.
+    """
     member = message.Member(
         running.node.identity,
         settings.advertise,
@@ -262,19 +265,36 @@
         voter=False,
     )
     encoded = msgspec.msgpack.encode(wire.JoinRequest(member))
-    asked = list(settings.replicas)
-    while running.node.membership.find(running.node.identity) is None:
-        address = asked.pop(0)
-        asked.append(address)
+    asked = collections.deque(settings.replicas)
+    is_counted = False
+    while True:
         await anyio.sleep(_JOIN_S)
+        if _is_counted_in(running):
+            if not is_counted:
+                lines.record('member of the cell', running.node.identity)
+            is_counted = True
+            continue
+        is_counted = False
+        known = (one.address for one in running.node.membership.members)
+        asked.extend(one for one in known if one not in asked)
+        address = asked[0]
+        asked.rotate(-1)
         try:
             answered = await channel.ask(address, channel.JOIN, encoded)
         except ConnectionError:
             continue
         reply = msgspec.msgpack.decode(answered, type=wire.JoinReply)
         if reply.leader:
-            asked.insert(0, reply.leader)
-    lines.record('member of the cell', running.node.identity)
+            asked.appendleft(reply.leader)
+
+
+def _is_counted_in(running: engine.Engine) -> bool:
+    """Return whether this replica is a member and hears its leader."""
+    replica = running.node
+    is_member = replica.membership.find(replica.identity) is not None
+    heard_ago = replica.now - replica.heard_at
+    is_led = replica.role is node.Role.LEADER or heard_ago < _UNHEARD_MS
+    return is_member and is_led
 
 
 async def _stop_on_signal(
--- a/mulberrywalk/replica/request.py
+++ b/mulberrywalk/replica/request.py
@@ -99,7 +99,9 @@
         self, origin: link.Link, ticket: int, request: wire.OpenSession
     ) -> None:
         """Propose the session of a target that has announced itself."""
-        occurred = event.SessionOpened(self._engine.time(), request.announcement)
+        occurred = event.SessionOpened(
+            self._engine.time(), request.announcement
+        )
         self._engine.propose(
             occurred, lambda told: self._grant(origin, ticket, told)
         )
--- a/mulberrywalk/storage/disk.py
+++ b/mulberrywalk/storage/disk.py
@@ -240,6 +240,10 @@
         )
     if is_short:
         _cut(path, frames.intact_length)
+    if is_last:
+        # A process that was killed while it wrote has left what reads well
+        # and is not on the disk yet; from here on it counts as written.
+        _sync_file(path)
     batches = [_decoder.decode(payload) for payload in frames.payloads]
     return list(itertools.chain.from_iterable(batches))
 
@@ -250,6 +254,11 @@
         os.fsync(descriptor)
 
 
+def _sync_file(path: pathlib.Path) -> None:
+    with _opened(path, os.O_WRONLY) as descriptor:
+        os.fsync(descriptor)
+
+
 def _replay(
     log: replica_log.Log,
     entries: tuple[message.LogEntry, ...],
--- a/mulberrywalk/storage/disk_test.py
+++ b/mulberrywalk/storage/disk_test.py
@@ -128,3 +128,22 @@
 def test_found_refuses_a_used_folder(folder):
     with pytest.raises(disk.StorageError, match='already'):
         disk.found(folder, message.NOBODY, 'a')
+
+
+def test_load_syncs_what_a_killed_process_had_written(folder, monkeypatch):
+    opened = open_disk(folder)
+    # The process is killed between the write and its sync.
+    with monkeypatch.context() as patched:
+        patched.setattr(disk.os, 'fdatasync', lambda descriptor: None)
+        opened.write([entries(1, 2)])
+    (segment,) = segments(folder)
+    synced = []
+    fsync = disk.os.fsync
+
+    def note(descriptor):
+        synced.append(disk.os.readlink(f'/proc/self/fd/{descriptor}'))
+        fsync(descriptor)
+
+    monkeypatch.setattr(disk.os, 'fsync', note)
+    assert disk.load(folder, 'a').log.last_index() == 2
+    assert str(segment) in synced
