--- a/mulberrywalk/consensus/repair_test.py
+++ b/mulberrywalk/consensus/repair_test.py
@@ -91,9 +91,7 @@
 
 def test_plan_replaces_a_voter_whose_disk_is_lost_without_waiting(leader):
     reborn = msgspec.structs.replace(member('b-2', voter=False), address='b')
-    commit_membership(
-        leader, leader.membership.remove('d').replace(reborn)
-    )
+    commit_membership(leader, leader.membership.remove('d').replace(reborn))
     leader.progress['b'].acknowledged_at = NOW - 1
     leader.progress['b-2'] = node.Progress(
         11, match_index=10, acknowledged_at=NOW
--- a/mulberrywalk/core/amendment.py
+++ b/mulberrywalk/core/amendment.py
@@ -50,10 +50,9 @@
     )
     tables.queues = {one.name: one for one in replaced.routing.queues}
     tables.emit(effect.PublishConfiguration(current.version + 1))
-    tables.emit(
-        effect.Trace('configured', detail=f'routing {replaced.routing.version}')
-    )
-    return outcome.PatchAccepted(replaced.routing.version)
+    version = replaced.routing.version
+    tables.emit(effect.Trace('configured', detail=f'routing {version}'))
+    return outcome.PatchAccepted(version)
 
 
 def _decide_patch(
--- a/mulberrywalk/core/cell_test.py
+++ b/mulberrywalk/core/cell_test.py
@@ -7,6 +7,12 @@
 CAPACITY = resource.Resources(4000, 4000, 1, 3)
 
 
+def only(found):
+    """Return the one element of a collection."""
+    assert len(found) == 1, found
+    return next(iter(found))
+
+
 def announce(number, nonce, ended=None, **more):
     return event.Announcement(
         target=identity.TargetId(f't{number}'),
--- a/mulberrywalk/core/fleet.py
+++ b/mulberrywalk/core/fleet.py
@@ -16,6 +16,7 @@
 from . import identity, resource
 
 _BLOCKED_LIMIT = 256
+_NO_POOL = identity.Pool('')
 
 
 @dataclasses.dataclass(slots=True)
@@ -37,9 +38,19 @@
     is_probed: bool = False
     reserved_for: identity.JobId | None = None
     is_indexed: bool = False
-    pool: identity.Pool = identity.Pool('')
+    pool: identity.Pool = _NO_POOL
     labels: frozenset[str] = frozenset()
 
+    def is_available(self) -> bool:
+        """Return whether the target takes work that is not a gang's own."""
+        is_probing = self.is_probed and bool(self.attempts)
+        return self.is_open and self.reserved_for is None and not is_probing
+
+    def is_meant_for(self, pool: str, label: str) -> bool:
+        """Return whether work of a pool and with a label may run here."""
+        is_of_pool = not pool or self.pool == pool
+        return is_of_pool and (not label or label in self.labels)
+
 
 class Fleet:
     """All targets, ordered by free processor, with totals."""
--- a/mulberrywalk/core/lifecycle.py
+++ b/mulberrywalk/core/lifecycle.py
@@ -168,7 +168,8 @@
     state.remove_attempt(tables, attempt)
     ended = _limit_answer(tables, attempt, ended)
     task = _close_attempt(tables, attempt, ended)
-    trace(tables, 'ended', attempt, f'{ended.reason.value} {ended.detail}')
+    reason = ended.reason.value
+    trace(tables, 'ended', attempt, f'{reason} {ended.detail}')
     _credit(tables, attempt, task, ended.reason)
     if ended.reason in {job.EndReason.COMPLETED, job.EndReason.FAILED}:
         _set_job_running(tables, task.job)
--- a/mulberrywalk/core/session.py
+++ b/mulberrywalk/core/session.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+from typing import TypeVar
+
 import msgspec
 
 from . import (
@@ -18,6 +21,10 @@
     target,
 )
 
+Reported = TypeVar(
+    'Reported', event.AttemptStart, event.AttemptCheckpoint, event.AttemptEnd
+)
+
 
 def open_session(
     tables: state.State, announcement: event.Announcement
@@ -113,21 +120,27 @@
     """
     if received.session not in tables.sessions:
         return _gone(received.session)
-    for started in received.started:
-        if _is_of_session(tables, started.attempt, received.session):
-            lifecycle.start(tables, started)
-    for saved in received.saved:
-        if _is_of_session(tables, saved.attempt, received.session):
-            lifecycle.save(tables, saved)
-    for ended in received.ended:
-        if _is_of_session(tables, ended.attempt, received.session):
-            lifecycle.end(tables, ended)
+    _record_each(tables, received, received.started, lifecycle.start)
+    _record_each(tables, received, received.saved, lifecycle.save)
+    _record_each(tables, received, received.ended, lifecycle.end)
     if received.ended:
         names = tuple(one.attempt for one in received.ended)
         tables.emit(effect.AcknowledgeEnds(received.session, names))
     return outcome.Recorded()
 
 
+def _record_each(
+    tables: state.State,
+    received: event.ReportReceived,
+    reported: tuple[Reported, ...],
+    record: Callable[[state.State, Reported], None],
+) -> None:
+    """Record what concerns live attempts of the session."""
+    for one in reported:
+        if _is_of_session(tables, one.attempt, received.session):
+            record(tables, one)
+
+
 def _gone(identifier: identity.SessionId) -> outcome.NotRun:
     return outcome.NotRun(
         outcome.RefusalReason.SESSION_GONE,
--- a/mulberrywalk/core/staging.py
+++ b/mulberrywalk/core/staging.py
@@ -42,10 +42,9 @@
     """
     step = tables.steps[name]
     needs = tables.step_specification(step)
-    if step.asked_at and not step.tickets:
-        # Nothing is known of it yet; an unanswered question lapses.
-        if advice.is_asking(tables, step):
-            return False
+    is_unadvised = bool(step.asked_at) and not step.tickets
+    if is_unadvised and advice.is_asking(tables, step):
+        return False
     if next(tables.fleet.roomiest(needs.demand()), None) is None:
         return False
     numbers = list(tables.waiting.steps.get(name, ()))
@@ -86,11 +85,8 @@
     loads = (
         load
         for _, load in sorted(tables.fleet.loads.items())
-        if load.is_open
-        and load.reserved_for is None
-        and not (load.is_probed and load.attempts)
-        and (not specification.pool or load.pool == specification.pool)
-        and (not needs.label or needs.label in load.labels)
+        if load.is_available()
+        and load.is_meant_for(specification.pool, needs.label)
         and resource.fits(demand, load.capacity)
     )
     if specification.advice is not None:
@@ -183,7 +179,7 @@
         load
         for load in started.candidates
         if resource.fits(started.demand, load.free)
-        and not (load.is_probed and load.attempts)
+        and load.is_available()
         and _is_below_limit(tables, started, load)
     ]
     if not fitting:
--- a/mulberrywalk/core/state.py
+++ b/mulberrywalk/core/state.py
@@ -163,7 +163,8 @@
 
     def step_specification(self, step: job.Step) -> job.StepSpecification:
         """Return what each task of a step needs."""
-        return self.jobs[step.job].specification.steps[step.number]
+        record = self.jobs[step.job]
+        return record.specification.steps[step.number]
 
     def demand(self, task: job.Task) -> resource.Resources:
         """Return what a task is placed with: declared, or seen in use."""
--- a/mulberrywalk/core/workflow.py
+++ b/mulberrywalk/core/workflow.py
@@ -6,8 +6,10 @@
 
 from __future__ import annotations
 
+import collections
 import functools
 import itertools
+from collections.abc import Callable
 
 import msgspec
 
@@ -20,6 +22,7 @@
 _RESTART_MS = 200
 _LONGEST_RESTART_MS = 1600
 _FREE_FAILURES = 1
+_CHAINS_KEPT = 4096
 
 # Ends after which every member of a gang has to be run again.
 _GANG_ENDS = frozenset(
@@ -32,28 +35,50 @@
     )
 )
 
+Check = tuple[Callable[[job.Specification], bool], job.Fault]
+
+_TASK_CHECKS: tuple[Check, ...] = (
+    (
+        lambda specification: not specification.steps,
+        job.Fault('steps', 'only a workflow has steps'),
+    ),
+    (
+        lambda specification: bool(specification.tasks),
+        job.Fault('tasks', 'a job has at least one task'),
+    ),
+)
+_WORKFLOW_CHECKS: tuple[Check, ...] = (
+    (
+        lambda specification: not specification.tasks,
+        job.Fault('tasks', 'a workflow has steps and no tasks'),
+    ),
+    (
+        lambda specification: bool(specification.steps),
+        job.Fault('steps', 'a workflow has at least one step'),
+    ),
+    (
+        lambda specification: specification.is_idempotent,
+        job.Fault('idempotent', 'a workflow is idempotent'),
+    ),
+    (
+        lambda specification: specification.count_tasks() <= job.MAX_TASKS,
+        job.Fault('steps', f'a job has at most {job.MAX_TASKS} tasks'),
+    ),
+)
+
 
 def find_fault(specification: job.Specification) -> job.Fault | None:
     """Return why the shape of a job is invalid, or None."""
-    if specification.kind is not job.Kind.WORKFLOW:
-        if specification.steps:
-            return job.Fault('steps', 'only a workflow has steps')
-        if not specification.tasks:
-            return job.Fault('tasks', 'a job has at least one task')
-        return None
-    if specification.tasks:
-        return job.Fault('tasks', 'a workflow has steps and no tasks')
-    if not specification.steps:
-        return job.Fault('steps', 'a workflow has at least one step')
-    if not specification.is_idempotent:
-        return job.Fault('idempotent', 'a workflow is idempotent')
-    if specification.count_tasks() > job.MAX_TASKS:
-        return job.Fault('steps', f'a job has at most {job.MAX_TASKS} tasks')
-    faults = (
-        _find_step_fault(number, step)
-        for number, step in enumerate(specification.steps)
+    is_workflow = specification.kind is job.Kind.WORKFLOW
+    checks = _WORKFLOW_CHECKS if is_workflow else _TASK_CHECKS
+    of_shape = (
+        fault for is_fine, fault in checks if not is_fine(specification)
+    )
+    of_steps = itertools.starmap(
+        _find_step_fault, enumerate(specification.steps)
     )
-    return next((fault for fault in faults if fault is not None), None)
+    faults = itertools.chain(of_shape, of_steps)
+    return next((one for one in faults if one is not None), None)
 
 
 def _find_step_fault(
@@ -169,20 +194,19 @@
     return max(itertools.chain(numbers, (0,)))
 
 
-@functools.lru_cache(maxsize=4096)
+@functools.lru_cache(maxsize=_CHAINS_KEPT)
 def _chains(specification: job.Specification) -> tuple[int, ...]:
     advised = 0
     if specification.advice is not None:
         per_target = specification.advice.per_target_us * _ADVISED_TARGETS
         advised = specification.advice.decision_ms + per_target // _US_PER_MS
-    chains = [0] * len(specification.steps)
-    followers = [0] * len(specification.steps)
-    for number in reversed(range(len(specification.steps))):
-        step = specification.steps[number]
+    chains: dict[int, int] = {}
+    followers: dict[int, int] = collections.defaultdict(int)
+    for number, step in reversed(list(enumerate(specification.steps))):
         chains[number] = advised + step.estimate_ms + followers[number]
         for earlier in step.after:
             followers[earlier] = max(followers[earlier], chains[number])
-    return tuple(chains)
+    return tuple(chain for _, chain in sorted(chains.items()))
 
 
 def _due_at(record: job.Job, occurrence: int) -> int:
--- a/mulberrywalk/core/workflow_test.py
+++ b/mulberrywalk/core/workflow_test.py
@@ -68,7 +68,7 @@
     cell.submit(workflow(cell_test.step(2), max_failures=2))
     first, other = started(cell.dispatch())
     cell.report(first, job.EndReason.FAILED)
-    (again,) = started(cell.dispatch())
+    again = cell_test.only(started(cell.dispatch()))
     assert again.attempt == f'{PREFIX}.0.0.0/2'
     effects = cell.report(again, job.EndReason.FAILED)
     assert [one.attempt for one in stopped(effects)] == [other.attempt]
@@ -82,7 +82,7 @@
     cell = cell_test.Cell(targets=3)
     cell.submit(workflow(cell_test.step(1), max_failures=1))
     for number in range(2, 9):
-        (attempt,) = started(cell.dispatch())
+        attempt = cell_test.only(started(cell.dispatch()))
         cell.start(attempt)
         cell.apply(event.SessionExpired, attempt.session)
         cell.open_session(number)
@@ -121,16 +121,19 @@
     assert len(stopped(effects)) == 2
 
 
-@pytest.mark.parametrize('reason', [
-    job.EndReason.COMPLETED,
-    job.EndReason.FAILED,
-    job.EndReason.LEASE_LAPSED,
-])
+@pytest.mark.parametrize(
+    'reason',
+    [
+        job.EndReason.COMPLETED,
+        job.EndReason.FAILED,
+        job.EndReason.LEASE_LAPSED,
+    ],
+)
 def test_lasting_task_runs_again_however_it_ends(reason):
     cell = cell_test.Cell(targets=3)
     cell.submit(workflow(cell_test.step(1, is_lasting=True), max_failures=1))
     for _ in range(4):
-        (attempt,) = started(cell.dispatch(5000))
+        attempt = cell_test.only(started(cell.dispatch(5000)))
         cell.report(attempt, reason)
     assert state_of(cell) is not job.JobState.FAILED
 
@@ -138,7 +141,7 @@
 def test_cancelled_workflow_stops_what_runs_and_starts_nothing():
     cell = cell_test.Cell(targets=3)
     cell.submit(workflow(cell_test.step(1), cell_test.step(2, after=(0,))))
-    (running,) = started(cell.dispatch())
+    running = cell_test.only(started(cell.dispatch()))
     effects = cell.apply(event.JobCancelled, PREFIX)
     assert [one.attempt for one in stopped(effects)] == [running.attempt]
     cell.report(running, job.EndReason.COMPLETED)
@@ -180,7 +183,7 @@
 def test_step_runs_only_on_targets_with_its_label_and_pool():
     cell = cell_test.Cell()
     for number, (pool, labels) in enumerate(
-        ((pool, labels) for pool in 'pq' for labels in ((), ('fast',)))
+        (pool, labels) for pool in 'pq' for labels in ((), ('fast',))
     ):
         announced = cell_test.announce(
             number, f'n{number}', pool=pool, labels=labels
@@ -218,7 +221,7 @@
     cell.submit(workflow(cell_test.step(2), queue='q'))
     effects = cell.dispatch()
     assert not started(effects)
-    (question,) = questions(effects)
+    question = cell_test.only(questions(effects))
     assert len(question.targets) == 3
     assert not questions(cell.dispatch(10))
     advise(cell, question, 't1')
@@ -231,11 +234,11 @@
 def test_lapsed_ticket_is_asked_for_again_and_barred_targets_are_not():
     cell = advised_cell()
     cell.submit(workflow(cell_test.step(1), queue='q'))
-    (question,) = questions(cell.dispatch())
+    question = cell_test.only(questions(cell.dispatch()))
     advise(cell, question, 't1')
     effects = cell.dispatch(TERMS.valid_ms)
     assert not started(effects)
-    (again,) = questions(effects)
+    again = cell_test.only(questions(effects))
     assert again.targets == ('t1',)
 
 
@@ -255,16 +258,16 @@
         )
     asked = questions(cell.dispatch())
     advise(cell, asked[-1], 't0', 't1', 't2')
-    (placed,) = started(cell.dispatch())
+    placed = cell_test.only(started(cell.dispatch()))
     assert placed.task.startswith(asked[-1].step)
 
 
 def test_refused_ticket_is_dropped():
     cell = advised_cell()
     cell.submit(workflow(cell_test.step(1), queue='q'))
-    (question,) = questions(cell.dispatch())
+    question = cell_test.only(questions(cell.dispatch()))
     advise(cell, question, 't1')
-    (attempt,) = started(cell.dispatch())
+    attempt = cell_test.only(started(cell.dispatch()))
     cell.report(attempt, job.EndReason.NEVER_STARTED)
     assert not cell.tables.steps[question.step].tickets
 
@@ -283,9 +286,9 @@
     cell = advised_cell()
     cell.submit(workflow(cell_test.step(2), queue='q'))
     assert cell.tables.pending['q'] == 1
-    (question,) = questions(cell.dispatch())
+    question = cell_test.only(questions(cell.dispatch()))
     advise(cell, question, 't1')
-    attempt, *_ = started(cell.dispatch())
+    attempt = started(cell.dispatch())[0]
     cell.start(attempt)
     assert cell.tables.pending['q'] == 0
     restored = snapshot.decode(snapshot.encode(cell.tables))
@@ -315,10 +318,10 @@
     first = cell_test.announce(0, '100', born_at=100, address='a:1')
     cell.apply(event.SessionOpened, first)
     cell.submit(workflow(cell_test.step(1)))
-    (attempt,) = started(cell.dispatch())
+    attempt = cell_test.only(started(cell.dispatch()))
     again = cell_test.announce(0, '200', born_at=200, address='a:1')
     effects = cell.apply(event.SessionOpened, again)
-    (barred,) = stopped(effects)
+    barred = cell_test.only(stopped(effects))
     assert barred.attempt == attempt.attempt
     assert barred.session == effects[0].outcome.session
     assert not started(cell.dispatch(1000))
@@ -334,7 +337,7 @@
     assert started(cell.dispatch())
     later = cell_test.announce(1, '200', born_at=200, address='a:1')
     cell.apply(event.SessionOpened, later)
-    (again,) = started(cell.dispatch())
+    again = cell_test.only(started(cell.dispatch()))
     assert (again.target, again.number) == ('t1', 2)
     late = cell.apply(event.SessionOpened, first)[0].outcome
     assert late.reason is outcome.RefusalReason.SUPERSEDED_LIFE
@@ -343,12 +346,12 @@
 def test_saved_progress_survives_the_loss_of_a_target():
     cell = cell_test.Cell(targets=2)
     cell.submit(workflow(cell_test.step(1)))
-    (attempt,) = started(cell.dispatch())
+    attempt = cell_test.only(started(cell.dispatch()))
     cell.start(attempt)
     saved = event.AttemptCheckpoint(attempt.attempt, 'half')
     cell.apply(event.ReportReceived, attempt.session, saved=(saved,))
     cell.apply(event.SessionExpired, attempt.session)
-    (again,) = started(cell.dispatch())
+    again = cell_test.only(started(cell.dispatch()))
     name = identity.TaskId(f'{PREFIX}.0.0.0')
     assert cell.tables.tasks[name].checkpoint == 'half'
     assert again.target != attempt.target
--- a/mulberrywalk/entry/called.py
+++ b/mulberrywalk/entry/called.py
@@ -10,7 +10,6 @@
 import abc
 import dataclasses
 import enum
-import itertools
 
 import anyio
 from anyio.abc import TaskGroup
@@ -18,7 +17,7 @@
 from ..core import event, identity, job
 from ..telemetry import clock, journal
 from ..transport import wire
-from . import pacing, session, upstream
+from . import ending, pacing, session, upstream
 
 # A target's clock may be this much slow, in percent.
 _DRIFT_PERCENT = 2
@@ -32,7 +31,6 @@
 _SETTLE_S = 0.3
 _GATHER_S = 0.004
 _READY_S = 1.5
-_REPORT_AGAIN_MS = 1000
 _CALLS_AT_ONCE = 16
 
 
@@ -221,10 +219,7 @@
         # Orders that were answered as barred: reported unless a later look
         # shows the attempt.
         self._barred: dict[identity.AttemptId, str] = {}
-        self._numbers: dict[identity.AttemptId, int] = {}
-        self._reported_at: dict[identity.AttemptId, int] = {}
-        self._acknowledged = 0
-        self._done: set[int] = set()
+        self._ledger = ending.Ledger()
         self._pacer = pacing.Pacer()
         self._paced: dict[identity.AttemptId, int] = {}
 
@@ -246,7 +241,9 @@
             self._group.start_soon(self._start, start, commands.term)
         for stop in commands.stop:
             self._group.start_soon(self._stop, stop.attempt, commands.term)
-        self._acknowledge(commands.acknowledge)
+        self._ledger.acknowledge(commands.acknowledge)
+        if commands.acknowledge and self._ledger.is_settled():
+            self._settled.set()
 
     def renew(self, sequence: int) -> None:
         """Count the lease from when the answered renewal was asked for."""
@@ -270,7 +267,7 @@
             is_seen = await self._look(wait_ms)
             if not is_seen:
                 await anyio.sleep(_UNANSWERED_S)
-            elif self._numbers:
+            elif not self._ledger.is_settled():
                 await self._settle()
             wait_ms = self._next_wait()
 
@@ -291,7 +288,10 @@
         barred = dict(self._barred)
         sent_at = clock.monotonic_ms()
         glance = Glance(
-            self._term, self._lease.until(), self._acknowledged, wait_ms
+            self._term,
+            self._lease.until(),
+            self._ledger.acknowledged,
+            wait_ms,
         )
         seen = await self._caller.look(self._destination, glance)
         if isinstance(seen, Answer):
@@ -311,17 +311,17 @@
     ) -> None:
         now = clock.monotonic_ms()
         if seen.ended:
-            # Lower ones were forgotten when another entry acknowledged them.
-            lowest = min(one.number for one in seen.ended)
-            self._acknowledged = max(self._acknowledged, lowest - 1)
+            self._ledger.begin_listing(min(one.number for one in seen.ended))
         started = self._find_started(seen)
         ended = [
             event.AttemptEnd(
                 one.attempt, one.reason, now, checkpoint=one.checkpoint
             )
             for one in seen.ended
-            if self._is_due(one, now)
+            if self._ledger.list_end(one.attempt, one.number, now)
         ]
+        for listed in seen.ended:
+            self._shares.pop(listed.attempt, None)
         ended.extend(self._find_barred(seen, barred, now))
         saved = self._find_saved(seen)
         if started or ended or saved:
@@ -340,15 +340,6 @@
         self._confirmed = set(names)
         return started
 
-    def _is_due(self, ended: Ended, now: int) -> bool:
-        self._numbers[ended.attempt] = ended.number
-        self._shares.pop(ended.attempt, None)
-        reported_at = self._reported_at.get(ended.attempt)
-        if reported_at is not None and now - reported_at < _REPORT_AGAIN_MS:
-            return False
-        self._reported_at[ended.attempt] = now
-        return True
-
     def _find_barred(
         self, seen: Seen, barred: dict[identity.AttemptId, str], now: int
     ) -> list[event.AttemptEnd]:
@@ -357,19 +348,17 @@
         present.update(one.attempt for one in seen.ended)
         # Another look may have reported some of them meanwhile.
         absent = [
-            one
-            for one in barred
-            if one in self._barred and one not in present
+            one for one in barred if one in self._barred and one not in present
         ]
-        for name in barred:
-            self._barred.pop(name, None)
-        for name in absent:
-            self._shares.pop(name, None)
+        for answered in barred:
+            self._barred.pop(answered, None)
+        for gone in absent:
+            self._shares.pop(gone, None)
         return [
             event.AttemptEnd(
-                name, job.EndReason.NEVER_STARTED, now, detail=barred[name]
+                one, job.EndReason.NEVER_STARTED, now, detail=barred[one]
             )
-            for name in absent
+            for one in absent
         ]
 
     def _find_saved(self, seen: Seen) -> list[event.AttemptCheckpoint]:
@@ -384,21 +373,6 @@
         }
         return fresh
 
-    def _acknowledge(self, attempts: tuple[identity.AttemptId, ...]) -> None:
-        """Let ends be forgotten that are committed, in their order."""
-        for attempt in attempts:
-            number = self._numbers.pop(attempt, None)
-            self._reported_at.pop(attempt, None)
-            if number is not None:
-                self._done.add(number)
-        for number in itertools.count(self._acknowledged + 1):
-            if number not in self._done:
-                break
-            self._done.discard(number)
-            self._acknowledged = number
-        if attempts and not self._numbers:
-            self._settled.set()
-
     async def _start(self, command: wire.StartCommand, term: int) -> None:
         with anyio.move_on_after(_READY_S):
             await self._ready.wait()
@@ -416,7 +390,7 @@
         if answer is Answer.DONE:
             self._confirm(command.attempt)
         elif answer is Answer.BARRED:
-            self._bar(command.attempt, answer)
+            self._note_barred(command.attempt, answer)
         elif answer in _REFUSALS:
             await self._refuse(command.attempt, answer, term)
 
@@ -434,16 +408,16 @@
         async with self._limit:
             stopped = await self._caller.stop(self._destination, attempt, term)
         if stopped in {Answer.DONE, Answer.BARRED}:
-            self._bar(attempt, answer)
+            self._note_barred(attempt, answer)
 
     async def _stop(self, attempt: identity.AttemptId, term: int) -> None:
         async with self._limit:
             answer = await self._caller.stop(self._destination, attempt, term)
         self._note(f'stop: {answer.value}', attempt)
         if answer in {Answer.DONE, Answer.BARRED}:
-            self._bar(attempt, answer)
+            self._note_barred(attempt, answer)
 
-    def _bar(self, attempt: identity.AttemptId, answer: Answer) -> None:
+    def _note_barred(self, attempt: identity.AttemptId, answer: Answer) -> None:
         """Let a look tell whether the attempt is there after all."""
         if not self._barred and self._group is not None:
             self._group.start_soon(self._look_soon)
@@ -489,7 +463,7 @@
         self._journal.record(
             what,
             attempt=attempt,
-            job=attempt.split('.')[0],
+            job=attempt.split('.', maxsplit=1)[0],
             target=self._destination.target,
         )
 
--- a/mulberrywalk/entry/called_test.py
+++ b/mulberrywalk/entry/called_test.py
@@ -70,6 +70,11 @@
         return called.Answer.DONE
 
 
+def only(found):
+    assert len(found) == 1, found
+    return found[0]
+
+
 def assignment(**more):
     return wire.Assignment(
         session=SESSION,
@@ -160,7 +165,7 @@
         await anyio.sleep(0.05)
 
     leader = play(target, scenario)
-    ((attempt, until, term),) = target.starts
+    attempt, until, term = only(target.starts)
     assert (attempt, term) == (FIRST, 7)
     # The clock of the target stands in the fake: 8 s, 2% of it in reserve.
     assert target.clock_ms < until <= target.clock_ms + 8000 * 98 // 100
@@ -207,7 +212,7 @@
 
     leader = play(target, scenario)
     assert target.stops == [FIRST]
-    (ended,) = leader.reports('ended')
+    ended = only(leader.reports('ended'))
     assert ended.reason is job.EndReason.NEVER_STARTED
     assert ended.detail == answer.value
 
--- a/mulberrywalk/entry/caller.py
+++ b/mulberrywalk/entry/caller.py
@@ -97,13 +97,9 @@
             return answer.respond_error(encoded)
         if isinstance(seconds, answer.InputError):
             return answer.respond_error(seconds)
-        specification = decode(encoded, job.Specification)
+        specification = _decode_job(encoded)
         if isinstance(specification, answer.InputError):
             return answer.respond_error(specification)
-        fault = workflow.find_fault(specification)
-        if fault is not None:
-            wrong = answer.InputError(_CLIENT_ERROR, *fault)
-            return answer.respond_error(wrong)
         if not self._leader.is_current():
             return answer.respond_not_ready(
                 'the configuration could not be confirmed'
@@ -289,6 +285,16 @@
         return answer.invalid(error)
 
 
+def _decode_job(encoded: bytes) -> job.Specification | answer.InputError:
+    specification = decode(encoded, job.Specification)
+    if isinstance(specification, answer.InputError):
+        return specification
+    fault = workflow.find_fault(specification)
+    if fault is not None:
+        return answer.InputError(_CLIENT_ERROR, *fault)
+    return specification
+
+
 def parse_wait(request: requests.Request) -> float | answer.InputError:
     """Return the seconds to wait, zero for none, or the error."""
     text = request.query_params.get('wait', '0')
--- a/mulberrywalk/entry/program.py
+++ b/mulberrywalk/entry/program.py
@@ -138,9 +138,9 @@
 
 async def serve(settings: Settings, extension: Extension | None = None) -> None:
     """Compose the entry and run it until a signal."""
-    origin = journal.Origin(settings.name, settings.data_centre)
-    lines = journal.Journal(origin)
+    lines = journal.Journal(journal.Origin(settings.name, settings.data_centre))
     metrics = metric.connect(settings.statsd, f'mulberrywalk.{settings.name}')
+    stop = anyio.Event()
     leader = upstream.Upstream(
         settings.replicas,
         lines,
@@ -150,13 +150,9 @@
     sessions = session.Sessions(leader)
     targets = connection.Connections(leader, sessions, lines)
     interface = caller.Interface(leader, targets, lines, metrics)
-    stop = anyio.Event()
     extended = extension or NoExtension()
-    application, addresses = extended.extend(
-        Parts(settings, leader, sessions, interface, lines, metrics),
-        interface.application(),
-    )
-    config = _server_config(settings, addresses)
+    parts = Parts(settings, leader, sessions, interface, lines, metrics)
+    application, config = _extend(extended, parts)
     async with anyio.create_task_group() as group:
         group.start_soon(leader.run)
         group.start_soon(sessions.pass_on_renewals)
@@ -166,6 +162,15 @@
         lines.record('entry running', settings.listen)
 
 
+def _extend(
+    extension: Extension, parts: Parts
+) -> tuple[Application, hypercorn_config.Config]:
+    application, addresses = extension.extend(
+        parts, parts.interface.application()
+    )
+    return application, _server_config(parts.settings, addresses)
+
+
 async def _serve_http(
     application: Application,
     config: hypercorn_config.Config,
--- a/mulberrywalk/entry/upstream.py
+++ b/mulberrywalk/entry/upstream.py
@@ -115,7 +115,8 @@
     def add_addresses(self, addresses: tuple[str, ...]) -> None:
         """Dial these replicas too, besides those that are known."""
         known = set(self.addresses)
-        self.addresses[:0] = [one for one in addresses if one not in known]
+        fresh = [one for one in addresses if one not in known]
+        self.addresses = [*fresh, *self.addresses]
 
     def send(self, message: wire.FromEntry) -> None:
         """Send a message that nobody waits for; dropped without a leader."""
--- a/mulberrywalk/platform/control.py
+++ b/mulberrywalk/platform/control.py
@@ -99,10 +99,10 @@
         return _respond(told)
 
     def _read(self) -> http.Response:
-        source = self._engine.tables.configuration.routing.source
-        if not source:
+        current = self._engine.tables.configuration
+        if not current.routing.source:
             return http.Response(http.UNAVAILABLE)
-        return http.Response(http.OK, source.encode())
+        return http.Response(http.OK, current.routing.source.encode())
 
 
 def _respond(told: outcome.Outcome | None) -> http.Response:
--- a/mulberrywalk/platform/front.py
+++ b/mulberrywalk/platform/front.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import re
+from types import MappingProxyType
 from typing import Any
 
 from ..core import configuration, identity, job
@@ -23,22 +24,26 @@
 _RETRY_AFTER_S = 1
 _BODY_BYTES = 1_048_576
 
-_STATES = {
-    job.JobState.QUEUED: 'queued',
-    job.JobState.RUNNING: 'running',
-    job.JobState.COMPLETED: 'completed',
-    job.JobState.FAILED: 'failed',
-    job.JobState.CANCELLED: 'cancelled',
-    job.JobState.UNKNOWN: 'failed',
-}
-_REFUSALS = {
-    'queue_full': http.TOO_MANY,
-    'overloaded': http.UNAVAILABLE,
-    'not_ready': http.UNAVAILABLE,
-    'unknown_queue': http.NOT_FOUND,
-    'request_reused': http.CONFLICT,
-    'not_found': http.GONE,
-}
+_STATES = MappingProxyType(
+    {
+        job.JobState.QUEUED: 'queued',
+        job.JobState.RUNNING: 'running',
+        job.JobState.COMPLETED: 'completed',
+        job.JobState.FAILED: 'failed',
+        job.JobState.CANCELLED: 'cancelled',
+        job.JobState.UNKNOWN: 'failed',
+    }
+)
+_REFUSALS = MappingProxyType(
+    {
+        'queue_full': http.TOO_MANY,
+        'overloaded': http.UNAVAILABLE,
+        'not_ready': http.UNAVAILABLE,
+        'unknown_queue': http.NOT_FOUND,
+        'request_reused': http.CONFLICT,
+        'not_found': http.GONE,
+    }
+)
 
 
 class Front:
@@ -77,6 +82,11 @@
         queue = self._find_queue(request)
         if queue is None:
             return http.Response(http.NOT_FOUND, {'error': 'no such queue'})
+        return await self._answer_for_queue(request, queue)
+
+    async def _answer_for_queue(
+        self, request: http.Request, queue: configuration.Queue
+    ) -> http.Response:
         name = request.path[len(queue.path_prefix) :]
         seconds = _patience_s(request, queue)
         if request.method == 'GET' and not name:
--- a/mulberrywalk/platform/setting.py
+++ b/mulberrywalk/platform/setting.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-VARIABLE = 'MULBERRYWALK_CONFIG'
+PATH_VARIABLE = 'MULBERRYWALK_CONFIG'
 
 
 class Addresses(msgspec.Struct, frozen=True):
@@ -58,7 +58,8 @@
 
     def own_address(self) -> str:
         """Return where this process serves its own interface and metrics."""
-        return f'{self.ip}:{self.internal_ports[0] + 1}'
+        port = self.internal_ports[0] + 1
+        return f'{self.ip}:{port}'
 
     def seed_peers(self) -> tuple[str, ...]:
         """Return where the replicas named as seeds talk to others."""
@@ -68,7 +69,7 @@
 
 def find_path() -> pathlib.Path:
     """Return the path of the settings file."""
-    return pathlib.Path(os.environ[VARIABLE])
+    return pathlib.Path(os.environ[PATH_VARIABLE])
 
 
 def read(path: pathlib.Path) -> Settings:
--- a/mulberrywalk/platform/wire.py
+++ b/mulberrywalk/platform/wire.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import hashlib
+from types import MappingProxyType
 
 import msgspec
 
@@ -16,6 +17,8 @@
 # Targets of the platform have no slots: other resources bound their tasks.
 _SLOTS = 100_000
 _URGENCIES = tuple(job.Urgency)
+# The place of the rough figure in a row of what runs.
+_GAUGE = 4
 _READY = 'ready'
 _DRAINING = 'draining'
 
@@ -151,21 +154,25 @@
     allowed: tuple[tuple[str, str] | Ticket, ...]
 
 
-_ENDS = {
-    'done': job.EndReason.COMPLETED,
-    'failed': job.EndReason.FAILED,
-    'stopped': job.EndReason.STOPPED,
-    'lapsed': job.EndReason.LEASE_LAPSED,
-    'broken': job.EndReason.GANG_BROKEN,
-    'alone': job.EndReason.GANG_INCOMPLETE,
-}
-REFUSALS = {
-    'fence': called.Answer.FENCED,
-    'old': called.Answer.BARRED,
-    'late': called.Answer.LATE,
-    'room': called.Answer.NO_ROOM,
-    'ticket': called.Answer.NO_TICKET,
-}
+_ENDS = MappingProxyType(
+    {
+        'done': job.EndReason.COMPLETED,
+        'failed': job.EndReason.FAILED,
+        'stopped': job.EndReason.STOPPED,
+        'lapsed': job.EndReason.LEASE_LAPSED,
+        'broken': job.EndReason.GANG_BROKEN,
+        'alone': job.EndReason.GANG_INCOMPLETE,
+    }
+)
+_REFUSALS = MappingProxyType(
+    {
+        'fence': called.Answer.FENCED,
+        'old': called.Answer.BARRED,
+        'late': called.Answer.LATE,
+        'room': called.Answer.NO_ROOM,
+        'ticket': called.Answer.NO_TICKET,
+    }
+)
 
 _configurations = msgspec.json.Decoder(Configuration)
 _jobs = msgspec.json.Decoder(Job)
@@ -256,7 +263,7 @@
         read = _listings.decode(body)
         running = tuple(_running_of(row) for row in read.running)
         ended = tuple(_ended_of(row) for row in read.finished)
-    except (msgspec.MsgspecError, KeyError, IndexError, ValueError) as error:
+    except (msgspec.MsgspecError, IndexError) as error:
         raise WireError(str(error)) from error
     return called.Seen(int(read.clock_ms), read.born, running, ended)
 
@@ -267,7 +274,7 @@
         read = _refusals.decode(body)
     except msgspec.MsgspecError:
         return called.Answer.INVALID
-    return REFUSALS.get(read.reason, called.Answer.INVALID)
+    return _REFUSALS.get(read.reason, called.Answer.INVALID)
 
 
 def read_tickets(body: bytes) -> tuple[tuple[identity.TargetId, str], ...]:
@@ -294,21 +301,26 @@
 
 
 def _running_of(row: tuple[object, ...]) -> called.Running:
-    gauge = row[4] if len(row) > 4 else 0
+    """Return what a row of runs says: task, run, saved, percent, gauge."""
+    gauge = row[_GAUGE] if len(row) > _GAUGE else 0
+    is_measured = isinstance(gauge, int | float)
     return called.Running(
         _attempt_of(row[0], row[1]),
         str(row[2] or ''),
-        int(gauge) if isinstance(gauge, int | float) else 0,
+        round(float(str(gauge))) if is_measured else 0,
     )
 
 
 def _ended_of(row: tuple[object, ...]) -> called.Ended:
-    number, task, run, how, saved = row[:5]
-    if not isinstance(number, int):
-        raise ValueError(f'end {number!r} is not numbered')
-    return called.Ended(
-        number, _attempt_of(task, run), _ENDS[str(how)], str(saved or '')
-    )
+    """Return what a row of ends says: number, task, run, how, saved."""
+    if not isinstance(row[0], int):
+        raise WireError(f'end {row[0]!r} is not numbered')
+    reason = _ENDS.get(str(row[3]))
+    if reason is None:
+        raise WireError(f'end {row[3]!r} is not known')
+    saved = str(row[4] or '')
+    attempt = _attempt_of(row[1], row[2])
+    return called.Ended(row[0], attempt, reason, saved)
 
 
 def _queue_of(route: Route) -> configuration.Queue:
--- a/mulberrywalk/platform/wire_test.py
+++ b/mulberrywalk/platform/wire_test.py
@@ -1,63 +1,82 @@
 """The platform's messages are decoded into the product's records, or not."""
 
 import json
+from types import MappingProxyType
 
 import pytest
 
-from ..core import identity, job
+from ..core import configuration, identity, job
 from ..entry import called
 from . import wire
 
-ROUTE = {
-    'name': 'r-1',
-    'host': 'Nony24.example',
-    'pathPrefix': '/lohu930/',
-    'kind': 'unsafe',
-    'timeoutMs': 3000,
-    'targetLatencyMs': 250,
-    'priority': 2,
-    'service': 's-1',
-    'maxAttempts': 3,
-    'slackFactor': 1.5,
-    'advice': {'decisionMs': 44.8, 'perWorkerMs': 0.4, 'validMs': 2000},
-}
-DOCUMENT = {
-    'version': 7,
-    'routes': [ROUTE],
-    'services': [{'name': 's-1', 'standby': False, 'maxConns': 64}],
-    'limits': {'maxBodyBytes': 262144},
-}
-BEAT = {
-    'service': 's-1',
-    'address': '10.0.0.1:80',
-    'zone': 'z',
-    'state': 'ready',
-    'capacity': {'cpu': 16000, 'memMb': 32768, 'gpu': 0},
-    'labels': ['a', 'r1-3'],
-    'clockMs': 5,
-    'seq': 4,
-    'born': 1786885000998,
-}
+ROUTE = MappingProxyType(
+    {
+        'name': 'r-1',
+        'host': 'Nony24.example',
+        'pathPrefix': '/lohu930/',
+        'kind': 'unsafe',
+        'timeoutMs': 3000,
+        'targetLatencyMs': 250,
+        'priority': 2,
+        'service': 's-1',
+        'maxAttempts': 3,
+        'slackFactor': 1.5,
+        'advice': {'decisionMs': 44.8, 'perWorkerMs': 0.4, 'validMs': 2000},
+    }
+)
+DOCUMENT = MappingProxyType(
+    {
+        'version': 7,
+        'routes': [dict(ROUTE)],
+        'services': [{'name': 's-1', 'standby': False, 'maxConns': 64}],
+        'limits': {'maxBodyBytes': 262144},
+    }
+)
+BEAT = MappingProxyType(
+    {
+        'service': 's-1',
+        'address': '10.0.0.1:80',
+        'zone': 'z',
+        'state': 'ready',
+        'capacity': {'cpu': 16000, 'memMb': 32768, 'gpu': 0},
+        'labels': ['a', 'r1-3'],
+        'clockMs': 5,
+        'seq': 4,
+        'born': 1786885000998,
+    }
+)
+MIB = 1_048_576
 BAD = ('{', '[]', '{"version": "x"}', '"', '{"version": 1, "routes": 1}')
 
 
 def encoded(fields):
-    return json.dumps(fields).encode()
+    return json.dumps(dict(fields)).encode()
 
 
 def queue():
     return wire.read_routing(encoded(DOCUMENT)).queues[0]
 
 
-def test_routing_is_decoded_and_kept_as_it_was_sent():
+def test_routing_is_kept_as_it_was_sent():
     routing = wire.read_routing(encoded(DOCUMENT))
-    read = routing.queues[0]
+    assert json.loads(routing.source) == dict(DOCUMENT)
     assert (routing.version, routing.max_body_bytes) == (7, 262144)
-    assert json.loads(routing.source) == DOCUMENT
-    assert (read.host, read.path_prefix) == ('nony24.example', '/lohu930/')
-    assert (read.pool, read.urgency) == ('s-1', job.Urgency.NORMAL)
-    assert (read.slack_percent, read.max_failures) == (150, 3)
-    assert read.advice == job.AdviceTerms(44, 400, 2000)
+    assert [one.name for one in routing.pools] == ['s-1']
+
+
+def test_routing_is_decoded_into_queues():
+    assert queue() == configuration.Queue(
+        name='r-1',
+        host='nony24.example',
+        path_prefix='/lohu930/',
+        pool='s-1',
+        urgency=job.Urgency.NORMAL,
+        timeout_ms=3000,
+        objective_ms=250,
+        slack_percent=150,
+        max_failures=3,
+        advice=job.AdviceTerms(44, 400, 2000),
+    )
 
 
 @pytest.mark.parametrize('body', BAD)
@@ -90,14 +109,21 @@
         'intervalMs': 20,
     }
     read = wire.read_job(encoded(body), '0' * 16, queue())
-    first, second = read.steps
-    assert (first.count, first.millicores, first.estimate_ms) == (4, 500, 900)
-    assert first.memory_bytes == 256 * 1024 * 1024
-    assert second.after == (0,)
-    assert second.is_gang
-    assert second.is_filler
-    assert second.demand().millicores == 0
-    assert (second.label, second.per_target_limit) == ('a', 1)
+    assert read.steps == (
+        job.StepSpecification(4, 500, 256 * MIB, estimate_ms=900),
+        job.StepSpecification(
+            2,
+            2000,
+            MIB,
+            after=(0,),
+            is_gang=True,
+            is_checkpointing=True,
+            is_filler=True,
+            label='a',
+            per_target_limit=1,
+            latency_target_ms=90,
+        ),
+    )
     assert read.recurrence == job.Recurrence(10, 20, 2)
     assert (read.payload, read.queue) == ('text', 'r-1')
 
--- a/mulberrywalk/platform/worker.py
+++ b/mulberrywalk/platform/worker.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
+from types import MappingProxyType
 from typing import Any
 
 import anyio
@@ -21,17 +23,21 @@
 _MS_PER_S = 1000
 _MOST_CONNECTIONS = 24
 _IDLE_S = 20
+# Longer than any call waits by itself.
+_CLIENT_S = 30
 _PLACE = 'Mulberrywalk-Expected-Instance'
 _WRONG_LIFE = 421
-_HEADERS = {'Content-Type': 'application/json'}
+_HEADERS = MappingProxyType({'Content-Type': 'application/json'})
 
-_STATUSES = {
-    http.OK: called.Answer.DONE,
-    http.BAD_REQUEST: called.Answer.INVALID,
-    _WRONG_LIFE: called.Answer.GONE,
-    http.TOO_MANY: called.Answer.UNWELL,
-    http.UNAVAILABLE: called.Answer.UNWELL,
-}
+_STATUSES = MappingProxyType(
+    {
+        http.OK: called.Answer.DONE,
+        http.BAD_REQUEST: called.Answer.INVALID,
+        _WRONG_LIFE: called.Answer.GONE,
+        http.TOO_MANY: called.Answer.UNWELL,
+        http.UNAVAILABLE: called.Answer.UNWELL,
+    }
+)
 
 
 class Clients:
@@ -51,7 +57,7 @@
         if client is None:
             client = httpx.AsyncClient(
                 base_url=f'http://{address}',
-                timeout=None,
+                timeout=_CLIENT_S,
                 trust_env=False,
                 verify=False,  # noqa: S501 - nothing is encrypted here.
                 limits=httpx.Limits(
@@ -74,7 +80,7 @@
     client: httpx.AsyncClient,
     url: str,
     body: dict[str, Any],
-    headers: dict[str, str],
+    headers: Mapping[str, str],
     seconds: float,
 ) -> httpx.Response | None:
     """Return the answer, or None when none came in time."""
--- a/mulberrywalk/replica/assignment.py
+++ b/mulberrywalk/replica/assignment.py
@@ -38,10 +38,13 @@
     def review(self, now: int) -> None:
         """Assign the sessions whose entry is gone, stopping or unanswered."""
         sessions = self._engine.tables.sessions
-        for name in [one for one in self._assigned_at if one not in sessions]:
-            self._assigned_at.pop(name)
+        self._assigned_at = {
+            name: assigned_at
+            for name, assigned_at in self._assigned_at.items()
+            if name in sessions
+        }
         counts = collections.Counter(
-            self._leases.entry_of(name) for name in self._assigned_at
+            self._leases.entry_of(one) for one in self._assigned_at
         )
         for session in list(sessions.values()):
             if self._needs_entry(session, now):
@@ -88,7 +91,8 @@
         self, session: target.Session, counts: collections.Counter[str]
     ) -> link.Link | None:
         """Return the entry with the fewest targets, a near one first."""
-        place = self._engine.tables.targets[session.target].data_centre
+        tables = self._engine.tables
+        place = tables.targets[session.target].data_centre
         present = self._leases.entry_of(session.session)
         return min(
             (one for one in self._links.open.values() if not one.is_stopping),
--- a/mulberrywalk/replica/leader.py
+++ b/mulberrywalk/replica/leader.py
@@ -18,6 +18,7 @@
     assignment,
     delivery,
     engine,
+    intake,
     lease,
     link,
     question,
@@ -127,6 +128,16 @@
             self._metrics,
             self._statuses,
         )
+        self._intake = intake.Intake(
+            self._engine,
+            intake.Duties(
+                self._leases,
+                self._delivery,
+                self._assignments,
+                self._questions,
+                self._requests,
+            ),
+        )
         self._effects: MappingProxyType[Any, Callable[..., None]] = (
             MappingProxyType(
                 {
@@ -216,105 +227,13 @@
         return wire.MembersChanged(tuple(one.address for one in members))
 
     def _receive(self, origin: link.Link, received: wire.FromEntry) -> None:
-        if not self._engine.is_serving():
-            return
-        if isinstance(received, wire.Call):
-            self._requests.take(origin, received)
-        elif isinstance(received, wire.Renewals):
-            self._renew(origin, received)
-        elif isinstance(received, wire.Report):
-            self._propose_report(origin, received)
-        elif isinstance(received, wire.Departure):
-            self._engine.propose(
-                event.DepartureAnnounced(self._engine.time(), received.session),
-                _ignore,
-            )
-        elif isinstance(received, wire.Advised):
-            self._take_advice(received)
-        else:
-            origin.is_stopping = received.is_stopping
-            origin.version = received.version
-            origin.pulse_sent_at = received.sent_at
-            origin.cost = received.cost
-
-    def _renew(self, origin: link.Link, received: wire.Renewals) -> None:
-        now = clock.monotonic_ms()
-        sessions = self._engine.tables.sessions
-        renewed: list[tuple[identity.SessionId, int]] = []
-        gone: list[identity.SessionId] = []
-        for session, count in received.sessions:
-            if session not in sessions:
-                gone.append(session)
-            elif not self._assignments.is_calling(session, origin.process):
-                gone.append(session)
-            elif not self._leases.is_expiring(session):
-                renewed.append((session, count))
-                if self._leases.renew(session, origin.process, now):
-                    self._delivery.resend_session(session, now)
-        if renewed:
-            origin.send(wire.Renewed(tuple(renewed)))
-        if gone:
-            origin.send(wire.Gone(tuple(gone)))
-
-    def _take_advice(self, received: wire.Advised) -> None:
-        self._questions.close(received.step)
-        self._engine.propose(
-            event.AdviceReceived(
-                self._engine.time(),
-                received.step,
-                received.asked,
-                received.allowed,
-                received.age_ms,
-            ),
-            _ignore,
-        )
+        if self._engine.is_serving():
+            self._intake.take(origin, received)
 
     def _lease_length(self, session: identity.SessionId) -> int:
         known = self._engine.tables.sessions.get(session)
         return known.lease_ms if known else target.LEASE_MS
 
-    def _bar_strangers(self, origin: link.Link, received: wire.Report) -> None:
-        """Stop what a target runs that no live attempt of its session is.
-
-        An order that was held up may be carried out after its attempt has
-        ended or was given up.
-        """
-        attempts = self._engine.tables.attempts
-        strangers = tuple(
-            wire.StopCommand(one.attempt, is_checkpointed=False)
-            for one in received.started
-            if one.attempt not in attempts
-            or attempts[one.attempt].session != received.session
-        )
-        if strangers:
-            term = self._engine.node.term
-            origin.send(
-                wire.Commands(received.session, stop=strangers, term=term)
-            )
-
-    def _propose_report(self, origin: link.Link, received: wire.Report) -> None:
-        self._bar_strangers(origin, received)
-        self._engine.propose(
-            event.ReportReceived(
-                self._engine.time(),
-                received.session,
-                received.started,
-                received.ended,
-                received.usage,
-                received.saved,
-            ),
-            lambda told: self._tell_gone(origin, received.session, told),
-        )
-
-    def _tell_gone(
-        self,
-        origin: link.Link,
-        session: identity.SessionId,
-        told: outcome.Outcome | None,
-    ) -> None:
-        if isinstance(told, outcome.NotRun):
-            origin.send(wire.Gone((session,)))
-
     def _start(self, effected: effect.StartAttempt) -> None:
         self._metrics.incr('starts')
         attempt = effected.attempt
--- a/mulberrywalk/replica/program.py
+++ b/mulberrywalk/replica/program.py
@@ -279,13 +279,18 @@
         asked.extend(one for one in known if one not in asked)
         address = asked[0]
         asked.rotate(-1)
-        try:
-            answered = await channel.ask(address, channel.JOIN, encoded)
-        except ConnectionError:
-            continue
-        reply = msgspec.msgpack.decode(answered, type=wire.JoinReply)
-        if reply.leader:
-            asked.appendleft(reply.leader)
+        leader_address = await _ask_to_join(address, encoded)
+        if leader_address:
+            asked.appendleft(leader_address)
+
+
+async def _ask_to_join(address: str, encoded: bytes) -> str:
+    """Ask a replica and return the leader's address if it tells one."""
+    try:
+        answered = await channel.ask(address, channel.JOIN, encoded)
+    except ConnectionError:
+        return ''
+    return msgspec.msgpack.decode(answered, type=wire.JoinReply).leader
 
 
 def _is_counted_in(running: engine.Engine) -> bool:
--- a/mulberrywalk/storage/disk_test.py
+++ b/mulberrywalk/storage/disk_test.py
@@ -28,6 +28,11 @@
     return tmp_path
 
 
+def only(found):
+    assert len(found) == 1, found
+    return found[0]
+
+
 def open_disk(folder):
     return disk.Disk(folder, disk.load(folder, 'a'))
 
@@ -136,7 +141,7 @@
     with monkeypatch.context() as patched:
         patched.setattr(disk.os, 'fdatasync', lambda descriptor: None)
         opened.write([entries(1, 2)])
-    (segment,) = segments(folder)
+    segment = only(segments(folder))
     synced = []
     fsync = disk.os.fsync
 
--- a/mulberrywalk/telemetry/journal.py
+++ b/mulberrywalk/telemetry/journal.py
@@ -176,12 +176,16 @@
 
 def _format_text(record: Any) -> str:
     extra = record['extra']
-    ids = _ids_of(extra['line']) if extra['line'] is not None else {}
-    shown = ' '.join(f'{name}={text}' for name, text in ids.items())
-    return _escape(
-        f'{record["time"]:%H:%M:%S.%f} {record["level"].name} '
-        f'{extra["process"]} {record["message"]} {shown}'
-    )
+    words = [
+        record['time'].strftime('%H:%M:%S.%f'),
+        record['level'].name,
+        extra['process'],
+        record['message'],
+    ]
+    if extra['line'] is not None:
+        ids = _ids_of(extra['line'])
+        words.extend(f'{name}={text}' for name, text in ids.items())
+    return _escape(' '.join(words))
 
 
 def _escape(text: str) -> str:
