Give a newcomer the log from its first entry on, and explain waiting heads

Ruled out: the time of the review of repairs. Change: followed from entry 1; the leader logs what the first step of each queue lacks. Test: seen failing first with the probe as it was.

--- a/mulberrywalk/consensus/election.py
+++ b/mulberrywalk/consensus/election.py
@@ -111,11 +111,16 @@
     effects.append(node.SaveEntries((entry,)))
 
 
-def track(state: node.Node, peer: message.ReplicaId) -> None:
-    """Start to follow the progress of another replica."""
+def track(
+    state: node.Node, peer: message.ReplicaId, *, is_new: bool = False
+) -> None:
+    """Start to follow the progress of another replica.
+
+    One that is new to the membership may have an empty log.
+    """
     if peer not in state.progress:
         state.progress[peer] = node.Progress(
-            next_index=state.log.last_index() + 1,
+            next_index=1 if is_new else state.log.last_index() + 1,
             acknowledged_at=state.led_from,
         )
 
--- a/mulberrywalk/consensus/leadership.py
+++ b/mulberrywalk/consensus/leadership.py
@@ -196,7 +196,8 @@
         _send_snapshot(state, peer, effects)
         return
     entries: tuple[message.LogEntry, ...] = ()
-    if not progress.is_probing:
+    # A newcomer knows nobody to answer to before it has the first entries.
+    if not progress.is_probing or progress.next_index == 1:
         entries = state.log.slice(
             progress.next_index, state.timing.batch_entries
         )
@@ -208,7 +209,8 @@
         state.commit_index,
         state.now,
     )
-    progress.next_index += len(entries)
+    if not progress.is_probing:
+        progress.next_index += len(entries)
     effects.append(node.Send(peer, request, is_after_sync=False))
 
 
--- a/mulberrywalk/consensus/raft_test.py
+++ b/mulberrywalk/consensus/raft_test.py
@@ -569,3 +569,21 @@
     asked = message.PreVoteRequest(2, 9, 1)
     effects = raft.step(state, node.Received('b', asked))
     assert sends(effects)[-1].body == message.PreVoteReply(5, granted=False)
+
+
+def test_newcomer_gets_the_log_from_its_first_entry_on(world):
+    world.run(3000)
+    leader = world.leader()
+    state = world.nodes[leader]
+    newcomer = message.Member(message.ReplicaId('new'), 'new', 'dc', False)
+    larger = state.membership.replace(newcomer)
+    effects = raft.step(state, node.MembershipProposed(larger))
+    effects.extend(raft.step(state, node.Tick(state.now + 200)))
+    appends = [
+        effect.body
+        for effect in sends(effects)
+        if effect.receiver == newcomer.identity
+    ]
+    assert appends
+    assert appends[0].previous_index == 0
+    assert appends[0].entries[0].index == 1
--- a/mulberrywalk/consensus/replication.py
+++ b/mulberrywalk/consensus/replication.py
@@ -118,7 +118,7 @@
     state.membership = state.log.membership_at(state.log.last_index())
     if state.role is node.Role.LEADER:
         for peer in state.peers():
-            election.track(state, peer)
+            election.track(state, peer, is_new=True)
 
 
 def _hear(
--- a/mulberrywalk/replica/leader.py
+++ b/mulberrywalk/replica/leader.py
@@ -25,6 +25,7 @@
     registry,
     request,
     status,
+    view,
 )
 
 _ROUND_S = 0.1
@@ -208,6 +209,9 @@
         self._metrics.gauge('sessions', len(tables.sessions))
         self._metrics.gauge('waiting', sum(tables.waiting.counts.values()))
         self._metrics.gauge('backlog', self._engine.backlog())
+        for step, detail in view.explain_heads(tables):
+            job = step.split('.', maxsplit=1)[0]
+            self._journal.record('first in queue', f'{step} {detail}', job=job)
 
     def _open(self, opened: link.Link) -> None:
         opened.send(self._members_changed())
--- a/mulberrywalk/replica/view.py
+++ b/mulberrywalk/replica/view.py
@@ -10,6 +10,7 @@
 
 from ..consensus import message, node
 from ..core import (
+    advice,
     configuration,
     fleet,
     identity,
@@ -68,6 +69,34 @@
     }
 
 
+def explain_heads(tables: state.State) -> list[tuple[str, str]]:
+    """Return the first waiting step of each queue, and what it lacks."""
+    heads = (queue[0].task for queue in tables.waiting.queues.values() if queue)
+    return [
+        (name, _explain_step(tables, tables.steps[identity.StepId(name)]))
+        for name in heads
+        if name in tables.steps
+    ]
+
+
+def _explain_step(tables: state.State, step: job.Step) -> str:
+    demand = tables.step_specification(step).demand()
+    loads = tables.fleet.loads.values()
+    with_room = [load for load in loads if resource.fits(demand, load.free)]
+    counts = {
+        'waiting': len(tables.waiting.steps.get(step.step, ())),
+        'targets': len(tables.fleet.loads),
+        'available': sum(load.is_available() for load in loads),
+        'with_room': len(with_room),
+        'barred': len(step.barred),
+        'tickets': len(step.tickets),
+        'valid': len(advice.find_valid(tables, step)),
+        'asked_ms_ago': step.asked_at and tables.time - step.asked_at,
+    }
+    shown = ' '.join(f'{name}={count}' for name, count in counts.items())
+    return f'{shown} demand={demand}'
+
+
 def show_targets(tables: state.State) -> list[dict[str, Any]]:
     """Return all targets with what is free and how they are doing."""
     return [
