Let a lasting task on a quarantined target be no trial of it

Change: only attempts placed since the quarantine that do not last are trials. Test: test_quarantined_target_with_lasting_tasks_is_probed_and_opened_again, seen failing without the change.

--- a/mulberrywalk/core/fleet.py
+++ b/mulberrywalk/core/fleet.py
@@ -24,8 +24,9 @@
     """One target as placement sees it.
 
     is_open tells that the target takes new work; is_probed that it may run
-    one attempt only, as a trial after quarantine. reserved_for names the
-    gang that waits for this target to become free.
+    one attempt only, as a trial after the quarantine that ended at
+    probed_from; trials are the live ones. reserved_for names the gang that
+    waits for this target to become free.
     """
 
     target: identity.TargetId
@@ -40,10 +41,12 @@
     is_indexed: bool = False
     pool: identity.Pool = _NO_POOL
     labels: frozenset[str] = frozenset()
+    probed_from: int = 0
+    trials: set[identity.AttemptId] = dataclasses.field(default_factory=set)
 
     def is_available(self) -> bool:
         """Return whether the target takes work that is not a gang's own."""
-        is_probing = self.is_probed and bool(self.attempts)
+        is_probing = self.is_probed and bool(self.trials)
         return self.is_open and self.reserved_for is None and not is_probing
 
     def is_meant_for(self, pool: str, label: str) -> bool:
@@ -89,6 +92,8 @@
         free: resource.Resources | None = None,
         is_open: bool | None = None,
         is_probed: bool | None = None,
+        probed_from: int | None = None,
+        trials: set[identity.AttemptId] | None = None,
     ) -> None:
         """Change what is free on a target or whether it takes work."""
         self._drop(load)
@@ -98,6 +103,10 @@
             load.is_open = is_open
         if is_probed is not None:
             load.is_probed = is_probed
+        if probed_from is not None:
+            load.probed_from = probed_from
+        if trials is not None:
+            load.trials = trials
         self._index(load)
 
     def reserve(self, load: TargetLoad, job: identity.JobId | None) -> None:
@@ -163,7 +172,7 @@
     def _index(self, load: TargetLoad) -> None:
         if not load.is_open or load.reserved_for is not None:
             return
-        if load.free.slots <= 0 or (load.is_probed and load.attempts):
+        if load.free.slots <= 0 or (load.is_probed and load.trials):
             return
         key = (load.free.millicores, load.target)
         self._ordered.add(key)
--- a/mulberrywalk/core/health.py
+++ b/mulberrywalk/core/health.py
@@ -63,6 +63,12 @@
             and record.health.until <= tables.time
         ),
         is_probed=record.health.level > 0,
+        probed_from=record.health.until,
+        trials={
+            name
+            for name in load.attempts
+            if state.is_trial(tables, tables.attempts[name], record.health)
+        },
     )
 
 
--- a/mulberrywalk/core/state.py
+++ b/mulberrywalk/core/state.py
@@ -244,6 +244,17 @@
         state.step_loads.pop(name)
 
 
+def is_trial(state: State, attempt: job.Attempt, health: target.Health) -> bool:
+    """Return whether an attempt tells how a target does after quarantine.
+
+    One that lasts tells nothing, for it does not complete.
+    """
+    if not health.level or attempt.placed_at < health.until:
+        return False
+    needs = state.task_specification(state.tasks[attempt.task])
+    return not getattr(needs, 'is_lasting', False)
+
+
 def _account(
     state: State,
     attempt: job.Attempt,
@@ -264,6 +275,9 @@
     free = resource.subtract(load.free, held)
     if attempt.attempt in state.attempts:
         load.attempts.add(attempt.attempt)
+        if is_trial(state, attempt, state.targets[attempt.target].health):
+            load.trials.add(attempt.attempt)
     else:
         load.attempts.discard(attempt.attempt)
+        load.trials.discard(attempt.attempt)
     state.fleet.change(load, free=free)
--- a/mulberrywalk/core/workflow_test.py
+++ b/mulberrywalk/core/workflow_test.py
@@ -392,3 +392,29 @@
     assert told.reason is outcome.RefusalReason.INVALID_ROUTING
     assert part in told.detail
     assert cell.tables.configuration == before
+
+
+def test_quarantined_target_with_lasting_tasks_is_probed_and_opened_again():
+    cell = cell_test.Cell(targets=1)
+    cell.submit(
+        workflow(
+            cell_test.step(1, 100, is_lasting=True),
+            job='lasting',
+            request_id='lasting',
+        )
+    )
+    assert len(started(cell.dispatch())) == 1
+    for number in range(3):
+        name = f'{number:016x}'
+        cell.submit(
+            workflow(
+                cell_test.step(1), max_failures=1, job=name, request_id=name
+            )
+        )
+        attempt = cell_test.only(started(cell.dispatch()))
+        cell.report(attempt, job.EndReason.FAILED)
+    cell.submit(workflow(cell_test.step(2), max_failures=1))
+    assert not started(cell.dispatch(1000))
+    trial = cell_test.only(started(cell.dispatch(10_000)))
+    cell.report(trial, job.EndReason.COMPLETED)
+    assert len(started(cell.dispatch())) == 1
