Show counters and latency histograms at the metrics address

Cause: metrics went to statsd only; the users fetch text. Change: metric.Exposition keeps and passes on; both roles serve it.

--- a/mulberrywalk/entry/program.py
+++ b/mulberrywalk/entry/program.py
@@ -103,7 +103,7 @@
     sessions: session.Sessions
     interface: caller.Interface
     lines: journal.Journal
-    metrics: metric.Metrics
+    metrics: metric.Exposition
 
 
 class Extension(abc.ABC):
@@ -139,7 +139,9 @@
 async def serve(settings: Settings, extension: Extension | None = None) -> None:
     """Compose the entry and run it until a signal."""
     lines = journal.Journal(journal.Origin(settings.name, settings.data_centre))
-    metrics = metric.connect(settings.statsd, f'mulberrywalk.{settings.name}')
+    metrics = metric.Exposition(
+        metric.connect(settings.statsd, f'mulberrywalk.{settings.name}')
+    )
     stop = anyio.Event()
     leader = upstream.Upstream(
         settings.replicas,
--- a/mulberrywalk/platform/entry.py
+++ b/mulberrywalk/platform/entry.py
@@ -40,18 +40,30 @@
         answering = front.Front(parts)
         own_port = int(parts.settings.listen.rpartition(':')[2])
 
+        async def show_metrics(
+            scope: dict[str, Any], receive: http.Receive, send: http.Send
+        ) -> None:
+            await http.write_text(send, parts.metrics.show())
+
+        by_port = {own_port: application, http.METRICS_PORT: show_metrics}
+
         async def serve(
             scope: dict[str, Any], receive: http.Receive, send: http.Send
         ) -> None:
             if scope['type'] == 'lifespan':
                 await http.accept_lifespan(receive, send)
-            elif scope['type'] == 'http' and scope['server'][1] != own_port:
-                await answering.serve(scope, receive, send)
-            else:
-                await application(scope, receive, send)
+                return
+            port = scope['server'][1]
+            chosen = by_port.get(port, answering.serve)
+            await chosen(scope, receive, send)
 
         bound = self._settings.bind_addrs
-        addresses = (bound.front, bound.readiness, parts.settings.listen)
+        addresses = (
+            bound.front,
+            bound.readiness,
+            parts.settings.listen,
+            self._settings.metrics_address(),
+        )
         return serve, tuple(one for one in addresses if one)
 
     async def run(self) -> None:
--- a/mulberrywalk/platform/front.py
+++ b/mulberrywalk/platform/front.py
@@ -8,7 +8,7 @@
 
 from ..core import configuration, identity, job
 from ..entry import program, upstream
-from ..telemetry import journal
+from ..telemetry import clock, journal
 from ..transport import codec
 from ..transport import wire as messages
 from . import http, wire
@@ -54,6 +54,7 @@
         self._leader: upstream.Upstream = parts.leader
         self._duty = parts.interface.duty
         self._lines: journal.Journal = parts.lines
+        self._metrics = parts.metrics
         self._routing: configuration.Routing | None = None
         self._prefixes: dict[str, list[configuration.Queue]] = {}
 
@@ -69,7 +70,13 @@
                 return
             except ConnectionError:
                 return
+            received_at = clock.monotonic_ms()
             response = await self._answer(request)
+            if request.path != _READY_PATH:
+                kind = request.method.lower()
+                passed_ms = clock.monotonic_ms() - received_at
+                self._metrics.timing(f'answer_{kind}', passed_ms)
+                self._metrics.incr(f'answers_{kind}_{response.status}')
             if self._duty.is_draining:
                 response.headers['connection'] = 'close'
             await http.write(send, response)
--- a/mulberrywalk/platform/http.py
+++ b/mulberrywalk/platform/http.py
@@ -8,6 +8,9 @@
 
 import msgspec
 
+# Where every process shows its metrics, beside the ports of the settings.
+METRICS_PORT = 9464
+
 OK = 200
 REDIRECT = 307
 BAD_REQUEST = 400
@@ -96,6 +99,18 @@
     await send({'type': 'http.response.body', 'body': body})
 
 
+async def write_text(send: Send, text: str) -> None:
+    """Send a page of plain text."""
+    await send(
+        {
+            'type': 'http.response.start',
+            'status': OK,
+            'headers': [(b'content-type', b'text/plain; charset=utf-8')],
+        }
+    )
+    await send({'type': 'http.response.body', 'body': text.encode()})
+
+
 async def accept_lifespan(receive: Receive, send: Send) -> None:
     """Answer the server's start and stop; there is nothing to do."""
     while True:
--- a/mulberrywalk/platform/replica.py
+++ b/mulberrywalk/platform/replica.py
@@ -42,11 +42,13 @@
         ) -> None:
             if scope['type'] == 'lifespan':
                 await http.accept_lifespan(receive, send)
+            elif scope['server'][1] == http.METRICS_PORT:
+                await http.write_text(send, parts.metrics.show())
             elif scope['type'] == 'http':
                 await answering.serve(scope, receive, send)
 
         config = hypercorn_config.Config()
-        config.bind = [address]
+        config.bind = [address, self._settings.metrics_address()]
         config.accesslog = None
         config.errorlog = None
         config.graceful_timeout = 0.2
--- a/mulberrywalk/platform/setting.py
+++ b/mulberrywalk/platform/setting.py
@@ -7,6 +7,8 @@
 
 import msgspec
 
+from . import http
+
 PATH_VARIABLE = 'MULBERRYWALK_CONFIG'
 
 
@@ -61,6 +63,10 @@
         port = self.internal_ports[0] + 1
         return f'{self.ip}:{port}'
 
+    def metrics_address(self) -> str:
+        """Return where this process shows its metrics."""
+        return f'{self.ip}:{http.METRICS_PORT}'
+
     def seed_peers(self) -> tuple[str, ...]:
         """Return where the replicas named as seeds talk to others."""
         hosts = (seed.rpartition(':')[0] for seed in self.seeds)
--- a/mulberrywalk/replica/program.py
+++ b/mulberrywalk/replica/program.py
@@ -155,6 +155,7 @@
     engine: engine.Engine
     leader: leader.Leader
     lines: journal.Journal
+    metrics: metric.Exposition
 
 
 class Extension(abc.ABC):
@@ -185,7 +186,9 @@
         lines,
         snapshot_entries=settings.snapshot_entries,
     )
-    metrics = metric.connect(settings.statsd, f'mulberrywalk.{settings.name}')
+    metrics = metric.Exposition(
+        metric.connect(settings.statsd, f'mulberrywalk.{settings.name}')
+    )
     statuses = status.Statuses(running, cost.Meter())
     leading = leader.Leader(running, lines, metrics, settings.policy, statuses)
     server = channel.Server(settings.listen)
@@ -199,7 +202,8 @@
         group.start_soon(_join_cell, settings, running, lines)
         group.start_soon(_stop_on_signal, running, lines, group)
         extended = extension or NoExtension()
-        group.start_soon(extended.run, Parts(settings, running, leading, lines))
+        parts = Parts(settings, running, leading, lines, metrics)
+        group.start_soon(extended.run, parts)
     await server.stop()
     disk.close()
 
