--- a/mulberrywalk/replica/leader.py
+++ b/mulberrywalk/replica/leader.py
@@ -95,21 +95,21 @@
     def join(self, request: wire.JoinRequest) -> wire.JoinReply:
         """Admit a replica with an empty disk as a spare."""
         running = self._engine.node
-        known = running.membership.find(request.member.identity)
+        known = running.membership.find(request.member.identity) is not None
+        members = running.membership.members
         if not self._engine.is_serving():
             leader = (
                 running.membership.find(running.leader)
                 if running.leader
                 else None
             )
-            return wire.JoinReply(
-                known is not None, leader.address if leader else ''
-            )
+            address = leader.address if leader else ''
+            return wire.JoinReply(known, address, members)
         planned = repair.admit(running, request.member)
         if planned is not None:
             self._journal.record('spare admitted', request.member.identity)
             self._engine.enter(node.MembershipProposed(planned))
-        return wire.JoinReply(known is not None, '')
+        return wire.JoinReply(known, '', members)
 
     def _begin(self) -> None:
         now = clock.monotonic_ms()
--- a/mulberrywalk/replica/peer.py
+++ b/mulberrywalk/replica/peer.py
@@ -38,10 +38,20 @@
         self._group = group
         self._outboxes: dict[str, channel.Outbox[message.Message]] = {}
         self._scopes: dict[str, anyio.CancelScope] = {}
+        self._introduced: dict[message.ReplicaId, message.Member] = {}
+
+    def introduce(self, members: tuple[message.Member, ...]) -> None:
+        """Take note of replicas that the own log does not name yet.
+
+        One with an empty log has to answer its leader to get a log at all.
+        """
+        self._introduced = {one.identity: one for one in members}
 
     def send(self, receiver: message.ReplicaId, body: message.Message) -> None:
         """Queue a message; it is dropped when the receiver is unknown."""
         member = self._engine.node.membership.find(receiver)
+        if member is None and not self._engine.node.membership.members:
+            member = self._introduced.get(receiver)
         if member is None:
             return
         key = f'{receiver}@{member.address}'
--- a/mulberrywalk/replica/program.py
+++ b/mulberrywalk/replica/program.py
@@ -175,8 +175,7 @@
 
 async def serve(settings: Settings, extension: Extension | None = None) -> None:
     """Compose the replica and run it until a signal."""
-    origin = journal.Origin(settings.name, settings.data_centre)
-    lines = journal.Journal(origin)
+    lines = journal.Journal(journal.Origin(settings.name, settings.data_centre))
     loaded = storage.load(settings.folder, settings.name)
     disk = storage.Disk(settings.folder, loaded)
     running = engine.Engine(
@@ -199,7 +198,7 @@
         lines.record('replica running', loaded.identity.identity)
         group.start_soon(running.run)
         group.start_soon(leading.run)
-        group.start_soon(_join_cell, settings, running, lines)
+        group.start_soon(_join_cell, settings, running, peers, lines)
         group.start_soon(_stop_on_signal, running, lines, group)
         extended = extension or NoExtension()
         parts = Parts(settings, running, leading, lines, metrics)
@@ -255,7 +254,10 @@
 
 
 async def _join_cell(
-    settings: Settings, running: engine.Engine, lines: journal.Journal
+    settings: Settings,
+    running: engine.Engine,
+    peers: peer.Peers,
+    lines: journal.Journal,
 ) -> None:
     """Ask to be admitted whenever no leader counts this replica in.
 
@@ -283,18 +285,20 @@
         asked.extend(one for one in known if one not in asked)
         address = asked[0]
         asked.rotate(-1)
-        leader_address = await _ask_to_join(address, encoded)
-        if leader_address:
-            asked.appendleft(leader_address)
+        reply = await _ask_to_join(address, encoded)
+        if reply.members:
+            peers.introduce(reply.members)
+        if reply.leader:
+            asked.appendleft(reply.leader)
 
 
-async def _ask_to_join(address: str, encoded: bytes) -> str:
-    """Ask a replica and return the leader's address if it tells one."""
+async def _ask_to_join(address: str, encoded: bytes) -> wire.JoinReply:
+    """Ask a replica to be admitted; one that is silent tells nothing."""
     try:
         answered = await channel.ask(address, channel.JOIN, encoded)
     except ConnectionError:
-        return ''
-    return msgspec.msgpack.decode(answered, type=wire.JoinReply).leader
+        return wire.JoinReply(is_admitted=False, leader='')
+    return msgspec.msgpack.decode(answered, type=wire.JoinReply)
 
 
 def _is_counted_in(running: engine.Engine) -> bool:
--- a/mulberrywalk/telemetry/clock.py
+++ b/mulberrywalk/telemetry/clock.py
@@ -49,6 +49,8 @@
 
     def advance(self, at_least: int) -> None:
         """Go on from a later time that is known to have passed."""
+        # What has passed since the last reading counts before, not after.
+        self.read()
         self._shown = max(self._shown, float(at_least))
 
 
--- a/mulberrywalk/transport/wire.py
+++ b/mulberrywalk/transport/wire.py
@@ -329,10 +329,14 @@
 
 
 class JoinReply(msgspec.Struct, frozen=True):
-    """Whether the spare was admitted; leader is where to ask instead."""
+    """Whether the spare was admitted; leader is where to ask instead.
+
+    members tells a replica that has no log yet whom it will hear from.
+    """
 
     is_admitted: bool
     leader: str
+    members: tuple[message.Member, ...] = ()
 
 
 class TimelineRequest(msgspec.Struct, frozen=True):
