Run the platform's path over real processes against a stand-in

Tests: submission to completion, a resend at another entry, a replaced leader, lost answers to starts, cancel, newest routing, refusals, metrics.

--- /dev/null
+++ b/tests/platform_test.py
@@ -0,0 +1,301 @@
+"""The whole path on the platform, over real processes and a stand-in."""
+
+from __future__ import annotations
+
+import contextlib
+import itertools
+import json
+import os
+import pathlib
+import signal
+import sys
+import time
+
+import httpx
+import pytest
+
+from demo import cell
+from tests import platform_worker
+
+REPLICAS = 3
+ENTRIES = 2
+READY_S = 40
+DONE_S = 30
+HOST = 'queue.example'
+_lanes = itertools.count(os.getpid() % 200)
+
+
+class Site:
+    """Replicas, entries, workers and an adviser on loopback addresses."""
+
+    def __init__(self, folder: pathlib.Path, run_s: float) -> None:
+        """Start everything and put a configuration in force."""
+        lane = next(_lanes) % 250
+        self.hosts = [f'127.9.{lane}.{one}' for one in range(1, 6)]
+        ports = cell.free_ports(4)
+        self.control_port = ports[0]
+        self.front_port = ports[1]
+        self.internal = [ports[2], ports[2] + 2]
+        self.folder = folder
+        self.adviser = platform_worker.Adviser(self.hosts[0])
+        self.workers = [
+            platform_worker.Worker(f'w{number}', self.hosts[0], run_s)
+            for number in range(2)
+        ]
+        self.controls = [
+            f'{host}:{self.control_port}' for host in self.hosts[:REPLICAS]
+        ]
+        self.fronts = [
+            f'{host}:{self.front_port}' for host in self.hosts[REPLICAS:]
+        ]
+        self.processes = [self._start(number) for number in range(5)]
+        self.beats = platform_worker.Beats(self.workers, self.controls)
+        self.configure(1)
+        self.wait(self._is_ready, 'the site was not ready')
+
+    def close(self) -> None:
+        """End everything."""
+        self.beats.close()
+        for process in self.processes:
+            process.kill()
+        for stand_in in (*self.workers, self.adviser):
+            stand_in.close()
+
+    def wait(self, is_done, complaint, seconds=READY_S):
+        """Poll a condition; fails when it does not come."""
+        deadline = time.monotonic() + seconds
+        while not is_done():
+            assert time.monotonic() < deadline, complaint
+            time.sleep(0.05)
+
+    def configure(self, version, prefix='/jobs/'):
+        """Put a configuration with one queue in force."""
+        route = {
+            'name': 'q',
+            'host': HOST,
+            'pathPrefix': prefix,
+            'service': 'pool',
+            'timeoutMs': 3000,
+            'targetLatencyMs': 250,
+            'priority': 0,
+            'maxAttempts': 2,
+            'slackFactor': 1.5,
+            'advice': {'decisionMs': 1, 'perWorkerMs': 1, 'validMs': 2500},
+        }
+        document = {
+            'version': version,
+            'routes': [route],
+            'services': [{'name': 'pool'}],
+            'limits': {'maxBodyBytes': 262144},
+        }
+        self.wait(
+            lambda: self._operate('POST', '/config/replace', document) == 200,
+            'no configuration was accepted',
+        )
+
+    def call(self, method, path, entry=0, body=None):
+        """Call an entry; returns the answer, or None without one."""
+        headers = {'Host': HOST, 'Mulberrywalk-Deadline-Ms': '3000'}
+        url = f'http://{self.fronts[entry]}{path}'
+        try:
+            return httpx.request(
+                method, url, headers=headers, json=body, timeout=5
+            )
+        except httpx.HTTPError:
+            return None
+
+    def submit(self, name, entry=0, count=2, **step):
+        """Hand a job of one step in until it is accepted."""
+        phase = {'count': count, 'cpu': 500, 'memMb': 10, 'estimateMs': 100}
+        body = {'spec': 's', 'phases': [{**phase, **step}]}
+        path = f'/jobs/{name}'
+
+        def is_accepted():
+            answered = self.call('POST', path, entry, body)
+            return answered is not None and answered.status_code == 200
+
+        self.wait(is_accepted, f'{name} was not accepted')
+
+    def state(self, name, entry=0):
+        """Return the state of a job, or nothing."""
+        answered = self.call('GET', f'/jobs/{name}', entry)
+        if answered is None or answered.status_code != 200:
+            return ''
+        return answered.json()['state']
+
+    def runs(self):
+        """Return all that ran on any worker."""
+        return [run for worker in self.workers for run in worker.runs]
+
+    def kill_leader(self):
+        """Kill the replica that answers for the cell; returns its number."""
+        for number, control in enumerate(self.controls):
+            with contextlib.suppress(httpx.HTTPError):
+                url = f'http://{control}/config/read'
+                if httpx.get(url, timeout=2).status_code == 200:
+                    self.processes[number].signal(signal.SIGKILL)
+                    return number
+        pytest.fail('no replica leads')
+
+    def start_again(self, number):
+        """Start a process that was killed."""
+        self.processes[number].running.wait()
+        self.processes[number].start()
+
+    def _operate(self, method, path, body):
+        for control in self.controls:
+            try:
+                answered = httpx.request(
+                    method,
+                    f'http://{control}{path}',
+                    json=body,
+                    timeout=2,
+                    follow_redirects=True,
+                )
+            except httpx.HTTPError:
+                continue
+            if answered.status_code == 200:
+                return 200
+        return 503
+
+    def _is_ready(self):
+        if any(self.call('GET', '/readyz', entry) is None for entry in (0, 1)):
+            return False
+        answers = [self.call('GET', '/jobs/', entry) for entry in (0, 1)]
+        return all(
+            one is not None and one.status_code == 200 for one in answers
+        )
+
+    def _start(self, number):
+        host = self.hosts[number]
+        is_replica = number < REPLICAS
+        folder = self.folder / f'data-{number}'
+        folder.mkdir()
+        settings = {
+            'nodeName': f'node-{number}',
+            'ip': host,
+            'zone': 'dc-1',
+            'bindAddrs': {'control': f'{host}:{self.control_port}'}
+            if is_replica
+            else {'front': f'{host}:{self.front_port}'},
+            'internalPorts': self.internal,
+            'seeds': self.controls,
+            'bootstrap': True,
+            'dataDir': str(folder) if is_replica else None,
+            'advice': self.adviser.address,
+        }
+        path = self.folder / f'settings-{number}.json'
+        path.write_text(json.dumps(settings))
+        role = 'replica' if is_replica else 'entry'
+        process = PlatformProcess(
+            f'{role}-{number}',
+            [sys.executable, '-m', f'mulberrywalk.platform.{role}'],
+            self.folder / f'{role}-{number}.log',
+        )
+        process.settings = path
+        process.start()
+        return process
+
+
+class PlatformProcess(cell.Process):
+    """A process that is told where its settings are."""
+
+    settings: pathlib.Path
+
+    def start(self) -> None:
+        """Start the process with the variable of the platform."""
+        os.environ['MULBERRYWALK_CONFIG'] = str(self.settings)
+        super().start()
+
+
+@pytest.fixture
+def site(tmp_path):
+    """Start a site whose tasks take 0.3 s."""
+    started = Site(tmp_path, run_s=0.3)
+    yield started
+    started.close()
+
+
+@pytest.fixture
+def slow_site(tmp_path):
+    """Start a site whose tasks take 4 s."""
+    started = Site(tmp_path, run_s=4)
+    yield started
+    started.close()
+
+
+def test_job_runs_and_is_known_at_every_entry(site):
+    name = '0123456789abcdef'
+    site.submit(name)
+    site.submit(name, entry=1)
+    site.wait(lambda: site.state(name) == 'completed', 'not done', DONE_S)
+    assert site.state(name, entry=1) == 'completed'
+    assert sorted((run.task, run.number) for run in site.runs()) == [
+        (f'{name}.0.0.0', 1),
+        (f'{name}.0.0.1', 1),
+    ]
+
+
+def test_work_goes_on_once_under_another_leader(slow_site):
+    name = 'fedcba9876543210'
+    slow_site.submit(name, count=4)
+    slow_site.wait(lambda: len(slow_site.runs()) == 4, 'nothing started')
+    killed = slow_site.kill_leader()
+    slow_site.submit(name, entry=1, count=4)
+    slow_site.wait(
+        lambda: slow_site.state(name, entry=1) == 'completed',
+        'not done under another leader',
+        DONE_S,
+    )
+    assert len(slow_site.runs()) == 4
+    slow_site.start_again(killed)
+
+
+def test_start_without_an_answer_runs_once(site):
+    name = '00000000000000aa'
+    for worker in site.workers:
+        worker.lost_answers = 1
+    site.submit(name, count=4)
+    site.wait(lambda: site.state(name) == 'completed', 'not done', DONE_S)
+    assert len(site.runs()) == 4
+
+
+def test_cancelled_job_is_stopped_and_barred(slow_site):
+    name = '00000000000000bb'
+    slow_site.submit(name)
+    slow_site.wait(lambda: len(slow_site.runs()) == 2, 'nothing started')
+    assert slow_site.call('DELETE', f'/jobs/{name}').status_code == 200
+    slow_site.wait(
+        lambda: not any(worker.live() for worker in slow_site.workers),
+        'it still runs',
+        5,
+    )
+    assert slow_site.state(name) == 'cancelled'
+    assert {run.how for run in slow_site.runs()} == {'stopped'}
+
+
+def test_only_the_newest_routing_is_in_force(site):
+    site.configure(5, prefix='/other/')
+    site.configure(3, prefix='/jobs/')
+    deadline = time.monotonic() + 2
+    while time.monotonic() < deadline:
+        time.sleep(0.1)
+    for entry in range(ENTRIES):
+        assert site.call('GET', '/other/', entry).status_code == 200
+        assert site.call('GET', '/jobs/', entry).status_code == 404
+
+
+def test_unknown_and_unreadable_jobs_are_refused(site):
+    assert site.call('GET', f'/jobs/{"0" * 16}').status_code == 410
+    refused = site.call('POST', f'/jobs/{"1" * 16}', body={'phases': []})
+    assert refused.status_code == 400
+
+
+def test_every_process_shows_its_metrics(site):
+    site.submit('00000000000000cc')
+    shown = [
+        httpx.get(f'http://{host}:9464/metrics', timeout=2).text
+        for host in site.hosts
+    ]
+    assert 'answers_post_200_total' in ''.join(shown)
+    assert 'starts_total' in ''.join(shown)
--- /dev/null
+++ b/tests/platform_worker.py
@@ -0,0 +1,262 @@
+"""A stand-in of the platform's workers and adviser, for tests.
+
+It answers the calls of an entry as the platform's pages tell, loses or holds
+up what a test asks it to, and keeps what really ran.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import dataclasses
+import json
+import threading
+import time
+from collections.abc import Callable
+from http import server as http_server
+from typing import Any
+
+import httpx
+
+_MS_PER_S = 1000
+_POLL_S = 0.005
+_BEAT_S = 0.5
+
+
+@dataclasses.dataclass
+class Run:
+    """One run of a task, with its times by the monotonic clock."""
+
+    task: str
+    number: int
+    started_at: float
+    ended_at: float | None = None
+    how: str = ''
+
+    def end(self, at: float, how: str) -> None:
+        """Note when and how the run has ended."""
+        self.ended_at = at
+        self.how = how
+
+
+class Worker:
+    """One worker: what runs on it, what has ended, and its lease."""
+
+    def __init__(self, name: str, host: str, run_s: float) -> None:
+        """Listen on a port of its own; every task takes run_s seconds."""
+        self.name = name
+        self.run_s = run_s
+        self.born = time.time_ns() // 1_000_000
+        self.runs: list[Run] = []
+        self.barred: dict[str, int] = {}
+        self.lost_answers = 0
+        self.rejected: list[tuple[str, str]] = []
+        self._lock = threading.RLock()
+        self._token = 0
+        self._until = float(0)
+        self._acknowledged = 0
+        self._server = _serve(host, self._answer)
+        self.address = f'{host}:{self._server.server_port}'
+
+    def beat(self, control: str, state: str = 'ready') -> int:
+        """Announce this worker; returns the status."""
+        beat = {
+            'service': 'pool',
+            'address': self.address,
+            'zone': 'dc-1',
+            'state': state,
+            'capacity': {'cpu': 4000, 'memMb': 4096, 'gpu': 0},
+            'labels': ['a', 'r1'],
+            'seq': time.monotonic_ns(),
+            'born': self.born,
+        }
+        url = f'http://{control}/instances/{self.name}/heartbeat'
+        with httpx.Client(follow_redirects=True, timeout=2) as client:
+            return client.post(url, json=beat).status_code
+
+    def live(self) -> list[Run]:
+        """Return what runs now."""
+        with self._lock:
+            self._settle()
+            return [run for run in self.runs if run.ended_at is None]
+
+    def close(self) -> None:
+        """Stop listening."""
+        self._server.shutdown()
+
+    def _clock_ms(self) -> int:
+        return time.monotonic_ns() // 1_000_000
+
+    def _settle(self) -> None:
+        """End what is done, and everything once the lease has run out."""
+        now = time.monotonic()
+        for run in self.runs:
+            if run.ended_at is not None:
+                continue
+            done_at = run.started_at + self.run_s
+            if self._until / _MS_PER_S < min(now, done_at):
+                run.end(self._until / _MS_PER_S, 'lapsed')
+            elif done_at <= now:
+                run.end(done_at, 'done')
+
+    def _answer(self, path: str, body: dict[str, Any]) -> tuple[int, Any]:
+        with self._lock:
+            self._settle()
+            if body['fencingToken'] < self._token:
+                return self._reject(path, 'fence')
+            self._token = body['fencingToken']
+            if path == '/hold':
+                return self._begin_look(body)
+            if path == '/run-start':
+                return self._start(body)
+            return self._stop(body)
+
+    def _begin_look(self, body: dict[str, Any]) -> tuple[int, Any]:
+        self._until = max(self._until, body.get('deadlineMs', 0))
+        self._acknowledged = max(self._acknowledged, body['ackCursor'])
+        return 200, self._list()
+
+    def _list(self) -> dict[str, Any]:
+        ended = [run for run in self.runs if run.ended_at is not None]
+        numbered = list(enumerate(ended, start=1))
+        return {
+            'clockMs': self._clock_ms(),
+            'born': self.born,
+            'running': [
+                [run.task, run.number, '', 50, 0]
+                for run in self.runs
+                if run.ended_at is None
+            ],
+            'finished': [
+                [number, run.task, run.number, run.how, '']
+                for number, run in numbered
+                if number > self._acknowledged
+            ],
+        }
+
+    def _start(self, body: dict[str, Any]) -> tuple[int, Any]:
+        task, number = body['task'], body['runId']
+        live = {(run.task, run.number) for run in self.live()}
+        if (task, number) in live:
+            return self._accept()
+        if number <= self.barred.get(task, 0):
+            return self._reject(task, 'old')
+        if body['deadlineMs'] < self._clock_ms():
+            return self._reject(task, 'late')
+        if body.get('ticket') != f'ticket of {self.name}':
+            return self._reject(task, 'ticket')
+        self._until = max(self._until, body['deadlineMs'])
+        self.barred[task] = number
+        self.runs.append(Run(task, number, time.monotonic()))
+        return self._accept()
+
+    def _stop(self, body: dict[str, Any]) -> tuple[int, Any]:
+        task, number = body['task'], body['runId']
+        self.barred[task] = max(number, self.barred.get(task, 0))
+        for run in self.live():
+            if run.task == task and run.number <= number:
+                run.end(time.monotonic(), 'stopped')
+        return self._accept()
+
+    def _accept(self) -> tuple[int, Any]:
+        if self.lost_answers:
+            self.lost_answers -= 1
+            return 0, {}
+        return 200, {'clockMs': self._clock_ms()}
+
+    def _reject(self, what: str, reason: str) -> tuple[int, Any]:
+        self.rejected.append((what, reason))
+        return 409, {'clockMs': self._clock_ms(), 'reason': reason}
+
+
+class Adviser:
+    """Allows every worker that it is asked about."""
+
+    def __init__(self, host: str) -> None:
+        """Listen on a port of its own."""
+        self.asked: list[str] = []
+        self._server = _serve(host, self._answer)
+        self.address = f'{host}:{self._server.server_port}'
+
+    def close(self) -> None:
+        """Stop listening."""
+        self._server.shutdown()
+
+    def _answer(self, path: str, body: dict[str, Any]) -> tuple[int, Any]:
+        self.asked.append(body['step'])
+        rows = [[name, f'ticket of {name}'] for name in body['workers']]
+        return 200, {'allowed': rows}
+
+
+class Beats:
+    """Lets workers announce themselves until it is closed."""
+
+    def __init__(self, workers: list[Worker], controls: list[str]) -> None:
+        """Start at once, in a thread."""
+        self._workers = workers
+        self._controls = controls
+        self._is_closed = threading.Event()
+        self._thread = threading.Thread(target=self._run, daemon=True)
+        self._thread.start()
+
+    def close(self) -> None:
+        """Announce nothing more."""
+        self._is_closed.set()
+        self._thread.join()
+
+    def _run(self) -> None:
+        while not self._is_closed.wait(_BEAT_S):
+            for worker in self._workers:
+                _beat_anywhere(worker, self._controls)
+
+
+def _beat_anywhere(worker: Worker, controls: list[str]) -> None:
+    for control in controls:
+        with contextlib.suppress(httpx.HTTPError):
+            if worker.beat(control) == 200:
+                return
+
+
+class _Server(http_server.ThreadingHTTPServer):
+    """Has the function that answers its calls."""
+
+    answer: Callable[[str, dict[str, Any]], tuple[int, Any]]
+
+
+class _Exchange(http_server.BaseHTTPRequestHandler):
+    """Answers one call after the other of a connection."""
+
+    protocol_version = 'HTTP/1.1'
+    server: _Server
+
+    def do_POST(self) -> None:
+        """Answer one call, or close the connection without an answer."""
+        length = int(self.headers['content-length'])
+        body = json.loads(self.rfile.read(length))
+        status, told = self.server.answer(self.path, body)
+        self._wait_for_end(body, told)
+        if not status:
+            self.close_connection = True
+            return
+        encoded = json.dumps(told).encode()
+        self.send_response(status)
+        self.send_header('content-length', str(len(encoded)))
+        self.end_headers()
+        self.wfile.write(encoded)
+
+    def log_message(self, *_: object) -> None:
+        """Write nothing."""
+
+    def _wait_for_end(self, body: dict[str, Any], told: dict[str, Any]) -> None:
+        """Hold a look back until there is an end, as long as it may wait."""
+        deadline = time.monotonic() + body.get('waitMs', 0) / _MS_PER_S
+        while time.monotonic() < deadline and not told.get('finished'):
+            time.sleep(_POLL_S)
+            told.update(self.server.answer(self.path, body)[1])
+
+
+def _serve(host: str, answer: Any) -> http_server.ThreadingHTTPServer:
+    server = _Server((host, 0), _Exchange)
+    server.answer = answer
+    server.daemon_threads = True
+    threading.Thread(target=server.serve_forever, daemon=True).start()
+    return server
