--- a/mulberrywalk/entry/upstream.py
+++ b/mulberrywalk/entry/upstream.py
@@ -95,8 +95,12 @@
 
     def is_current(self) -> bool:
         """Return whether the configuration was proved current lately."""
-        age = clock.monotonic_ms() - self._confirmed_at
-        return self.configuration is not None and age < self._current_ms
+        is_known = self.configuration is not None
+        return is_known and self.proof_age_ms() < self._current_ms
+
+    def proof_age_ms(self) -> int:
+        """Return how long ago the configuration was proved current."""
+        return clock.monotonic_ms() - self._confirmed_at
 
     async def call(
         self, request: wire.Request, seconds: float
--- a/mulberrywalk/platform/front.py
+++ b/mulberrywalk/platform/front.py
@@ -85,9 +85,17 @@
         if request.path == _READY_PATH:
             return self._answer_readiness()
         if not self._leader.is_current():
+            age_ms = self._leader.proof_age_ms()
+            self._lines.record(
+                'refused',
+                f'{request.method} {request.path}: '
+                f'configuration not confirmed for {age_ms} ms',
+                job=request.path.rpartition('/')[2],
+            )
             return _unavailable('the configuration could not be confirmed')
         queue = self._find_queue(request)
         if queue is None:
+            self._lines.record('refused', f'no queue for {request.path}')
             return http.Response(http.NOT_FOUND, {'error': 'no such queue'})
         return await self._answer_for_queue(request, queue)
 
