Give an unanswered order again at once, and let worthless work wait

Cause: an order without an answer waited 0.9 s, then until the leader's next resend at 1.5 s; a look without one hid ends for up to 1.9 s; entries noticed a frozen leader after 1.5 s and might dial it again first; work that can earn nothing any more stood before work that can. Change: orders are given up to three times, 0.3 s each; looks wait 0.5 s where something runs, 1.5 s where nothing does; silence of a stream counts after 1 s; a step whose job ends beyond three times its objective waits behind the rest. Tests: test_start_without_an_answer_is_given_again_at_once, test_worthless_work_waits_behind_work_that_can_still_earn.

--- a/mulberrywalk/core/dispatch.py
+++ b/mulberrywalk/core/dispatch.py
@@ -59,10 +59,24 @@
     health.release_due(tables)
     admission.forget_finished(tables)
     gang.review(tables)
+    if tables.waiting.steps:
+        _put_back_worthless(tables)
     if tables.waiting.queues:
         _serve_queues(tables)
 
 
+def _put_back_worthless(tables: state.State) -> None:
+    """Let late work that is worth nothing wait behind what still is."""
+    heads = [
+        position.task
+        for key in tables.waiting.queues
+        for position in tables.waiting.heads(key, _LOOK_AHEAD)
+    ]
+    for name in heads:
+        if name in tables.waiting.steps:
+            workflow.put_back(tables, identity.StepId(name))
+
+
 def _serve_queues(tables: state.State) -> None:
     fairness = share.assess(tables)
     turns = [turn_of(tables, key, fairness) for key in tables.waiting.queues]
--- a/mulberrywalk/core/job.py
+++ b/mulberrywalk/core/job.py
@@ -325,7 +325,8 @@
     """One step of one occurrence of a workflow.
 
     blocked_by counts the earlier steps that have not completed, unfinished
-    the own tasks. order is the latest time to start for the objective. For a
+    the own tasks. order is the latest time to start for the objective;
+    from worthless_at on the job ends too late to be worth anything. For a
     gang failures counts the failed runs, failed_run and completed_run name
     the last of either kind. asked_at is when an open question to the adviser
     was asked, zero for none, and no other is asked before ask_after; barred
@@ -338,6 +339,7 @@
     number: int
     sequence: int
     order: int
+    worthless_at: int
     blocked_by: int
     unfinished: int
     failures: int = 0
--- a/mulberrywalk/core/workflow.py
+++ b/mulberrywalk/core/workflow.py
@@ -23,6 +23,10 @@
 _LONGEST_RESTART_MS = 1600
 _FREE_FAILURES = 1
 _CHAINS_KEPT = 4096
+# A job that ends after so many times its objective is worth nothing.
+_WORTHLESS_AFTER = 3
+# Behind all work that is worth something, in the order that it had.
+_PUT_BACK_MS = 600_000
 
 # Ends after which every member of a gang has to be run again.
 _GANG_ENDS = frozenset(
@@ -174,6 +178,27 @@
         _run_again(tables, task, attempt, ended)
 
 
+def put_back(tables: state.State, name: identity.StepId) -> bool:
+    """Let a step wait behind others once its job is worth nothing.
+
+    It is not given up: whatever was accepted is run. Returns whether it was
+    put back now.
+    """
+    step = tables.steps[name]
+    if tables.time < step.worthless_at or _is_put_back(step):
+        return False
+    numbers = list(tables.waiting.steps[name])
+    members = members_of(tables, step)
+    for number in numbers:
+        lifecycle.stop_waiting(tables, members[number])
+    tables.steps[name] = msgspec.structs.replace(
+        step, order=step.order + _PUT_BACK_MS
+    )
+    for number in numbers:
+        lifecycle.wait(tables, members[number])
+    return True
+
+
 def chain_ms(specification: job.Specification, number: int) -> int:
     """Return the longest chain of estimates from a step to the end, in ms."""
     return _chains(specification)[number]
@@ -216,6 +241,11 @@
     return recurrence.first_at + occurrence * recurrence.interval_ms
 
 
+def _is_put_back(step: job.Step) -> bool:
+    # The order of a step is before the time from which it is worthless.
+    return step.order > step.worthless_at + _PUT_BACK_MS // 2
+
+
 def _release(tables: state.State, record: job.Job) -> None:
     occurrence = record.released
     specification = record.specification
@@ -232,6 +262,9 @@
             number=number,
             sequence=record.sequence,
             order=latest - chain_ms(specification, number),
+            worthless_at=due_at
+            + _WORTHLESS_AFTER * objective_ms(specification)
+            - chain_ms(specification, number),
             blocked_by=len(set(needs.after)),
             unfinished=needs.count,
         )
--- a/mulberrywalk/core/workflow_test.py
+++ b/mulberrywalk/core/workflow_test.py
@@ -418,3 +418,19 @@
     trial = cell_test.only(started(cell.dispatch(10_000)))
     cell.report(trial, job.EndReason.COMPLETED)
     assert len(started(cell.dispatch())) == 1
+
+
+def test_worthless_work_waits_behind_work_that_can_still_earn():
+    cell = cell_test.Cell(targets=1)
+    objective = {'objective_ms': 100, 'slack_percent': 100}
+    cell.submit(workflow(cell_test.step(4), **objective))
+    first = started(cell.dispatch())
+    assert len(first) == 3
+    cell.dispatch(60_000)
+    cell.submit(
+        workflow(cell_test.step(1), job='b', request_id='b', **objective)
+    )
+    assert [one.task for one in run_all(cell, first[:1])] == ['b.0.0.0']
+    assert [one.task for one in run_all(cell, first[1:2])] == [
+        f'{PREFIX}.0.0.3'
+    ]
--- a/mulberrywalk/entry/called.py
+++ b/mulberrywalk/entry/called.py
@@ -25,7 +25,11 @@
 _MS_PER_S = 1000
 # A start is sent only with so much of the lease left.
 _LEAST_LEASE_MS = 300
-_LOOK_MS = 1000
+_LOOK_MS = 500
+_IDLE_LOOK_MS = 1500
+# How often an order without an answer is given before the leader is left to
+# give it again.
+_TRIES = 3
 _PACED_LOOK_MS = 400
 _UNANSWERED_S = 0.2
 _SETTLE_S = 0.3
@@ -274,6 +278,8 @@
     def _next_wait(self) -> int:
         if self._lease.granted_from is None:
             return 0
+        if not self._shares:
+            return _IDLE_LOOK_MS
         is_shared = any(one.is_filler for one in self._shares.values())
         return _PACED_LOOK_MS if is_shared else _LOOK_MS
 
@@ -376,17 +382,26 @@
     async def _start(self, command: wire.StartCommand, term: int) -> None:
         with anyio.move_on_after(_READY_S):
             await self._ready.wait()
-        until = self._lease.until()
-        left_ms = self._lease.left_ms(clock.monotonic_ms())
-        if until is None or left_ms < _LEAST_LEASE_MS:
-            # The leader sends the start again.
-            self._note('start held: no lease', command.attempt)
-            return
-        async with self._limit:
-            answer = await self._caller.start(
-                self._destination, command, until, term
-            )
-        self._note(f'start: {answer.value}', command.attempt)
+        answer = Answer.NONE
+        for _ in range(_TRIES):
+            until = self._lease.until()
+            left_ms = self._lease.left_ms(clock.monotonic_ms())
+            if until is None or left_ms < _LEAST_LEASE_MS:
+                # The leader sends the start again.
+                self._note('start held: no lease', command.attempt)
+                return
+            async with self._limit:
+                answer = await self._caller.start(
+                    self._destination, command, until, term
+                )
+            self._note(f'start: {answer.value}', command.attempt)
+            if answer is not Answer.NONE:
+                break
+        await self._take_answer(command, answer, term)
+
+    async def _take_answer(
+        self, command: wire.StartCommand, answer: Answer, term: int
+    ) -> None:
         if answer is Answer.DONE:
             self._confirm(command.attempt)
         elif answer is Answer.BARRED:
@@ -411,9 +426,15 @@
             self._note_barred(attempt, answer)
 
     async def _stop(self, attempt: identity.AttemptId, term: int) -> None:
-        async with self._limit:
-            answer = await self._caller.stop(self._destination, attempt, term)
-        self._note(f'stop: {answer.value}', attempt)
+        answer = Answer.NONE
+        for _ in range(_TRIES):
+            async with self._limit:
+                answer = await self._caller.stop(
+                    self._destination, attempt, term
+                )
+            self._note(f'stop: {answer.value}', attempt)
+            if answer is not Answer.NONE:
+                break
         if answer in {Answer.DONE, Answer.BARRED}:
             self._note_barred(attempt, answer)
 
@@ -445,10 +466,6 @@
             if self._group is not None:
                 self._group.start_soon(self._pace_one, attempt, percent)
 
-    def _is_filler(self, attempt: identity.AttemptId) -> bool:
-        share = self._shares.get(attempt)
-        return share is not None and share.is_filler
-
     async def _pace_one(
         self, attempt: identity.AttemptId, percent: int
     ) -> None:
--- a/mulberrywalk/entry/called_test.py
+++ b/mulberrywalk/entry/called_test.py
@@ -238,6 +238,18 @@
     assert not leader.reports('ended')
 
 
+def test_start_without_an_answer_is_given_again_at_once():
+    target = FakeTarget()
+    target.answer = called.Answer.NONE
+
+    async def scenario(carried, leader):
+        carried.command(wire.Commands(SESSION, start=(command(FIRST),), term=7))
+        await anyio.sleep(0.05)
+
+    play(target, scenario)
+    assert len(target.starts) > 1
+
+
 def test_unanswered_start_is_found_by_a_look():
     target = FakeTarget()
     target.answer = called.Answer.NONE
--- a/mulberrywalk/entry/upstream.py
+++ b/mulberrywalk/entry/upstream.py
@@ -137,9 +137,16 @@
                 preferred = _first_address(errors)
             except* ConnectionError:
                 preferred = ''
+                self._put_last(address)
             self._is_linked = False
             await anyio.sleep(_REDIAL_S)
 
+    def _put_last(self, address: str) -> None:
+        """Dial a replica that has failed after all others."""
+        if address in self.addresses:
+            self.addresses.remove(address)
+            self.addresses.append(address)
+
     def _next_address(self) -> str:
         address = self.addresses.pop(0)
         self.addresses.append(address)
--- a/mulberrywalk/platform/worker.py
+++ b/mulberrywalk/platform/worker.py
@@ -16,9 +16,9 @@
 from ..transport import wire as messages
 from . import http, wire
 
-_ORDER_S = 0.9
+_ORDER_S = 0.3
 # Beyond the time that the answer itself is allowed to wait for an end.
-_LOOK_S = 0.9
+_LOOK_S = 0.4
 _ADVICE_S = 4.0
 _MS_PER_S = 1000
 _MOST_CONNECTIONS = 24
--- a/mulberrywalk/transport/channel.py
+++ b/mulberrywalk/transport/channel.py
@@ -14,8 +14,8 @@
 
 from ..telemetry import cost
 
-SILENCE_S = 1.5
-PULSE_S = 0.3
+SILENCE_S = 1.0
+PULSE_S = 0.25
 GATHER_S = 0.002
 MESSAGE_BYTES = 268_435_456
 SERVICE = 'mulberrywalk.Replica'
