--- a/mulberrywalk/entry/called.py
+++ b/mulberrywalk/entry/called.py
@@ -450,7 +450,10 @@
 
     def _pace(self, seen: Seen) -> None:
         fillers = [
-            one.attempt for one in seen.running if self._is_filler(one.attempt)
+            one.attempt
+            for one in seen.running
+            if (share := self._shares.get(one.attempt)) is not None
+            and share.is_filler
         ]
         readings = [
             pacing.Reading(share.latency_target_ms, one.gauge)
