--- /dev/null
+++ b/mulberrywalk/replica/assignment_test.py
@@ -0,0 +1,105 @@
+"""Which entry calls which target, when entries come, stop and fall silent."""
+
+import dataclasses
+
+import anyio
+
+from ..core import cell_test, event
+from ..transport import wire
+from . import assignment, delivery, lease, link
+
+
+class FakeLinks:
+    """The links that are open, by process."""
+
+    def __init__(self, *entries):
+        self.open = {one.process: one for one in entries}
+
+    def send(self, process, message):
+        if process in self.open:
+            self.open[process].send(message)
+
+
+@dataclasses.dataclass
+class FakeNode:
+    term: int = 3
+
+
+class FakeEngine:
+    """A state with one called target, and a term."""
+
+    def __init__(self):
+        self.cell = cell_test.Cell()
+        self.node = FakeNode()
+        announced = cell_test.announce(
+            0, '100', born_at=100, address='a:1', lease_ms=8000
+        )
+        effects = self.cell.apply(event.SessionOpened, announced)
+        self.session = effects[0].outcome.session
+
+    @property
+    def tables(self):
+        return self.cell.tables
+
+
+class Scene:
+    """A leader's assignments over some entries."""
+
+    def __init__(self, *places):
+        self.engine = FakeEngine()
+        self.entries = [
+            link.Link(f'e{number}', place)
+            for number, place in enumerate(places)
+        ]
+        self.links = FakeLinks(*self.entries)
+        self.leases = lease.Leases(0)
+        commands = delivery.Delivery(self.engine, self.links, self.leases)
+        self.assignments = assignment.Assignments(
+            self.engine, self.links, self.leases, commands
+        )
+
+    def review(self, now):
+        self.assignments.review(now)
+        return self.leases.entry_of(self.engine.session)
+
+    def assigned(self, number):
+        sent = anyio.run(self.entries[number].outbox.take, 0)
+        return [one for one in sent if isinstance(one, wire.Assignment)]
+
+
+def test_target_goes_to_an_entry_of_its_data_centre():
+    scene = Scene('dc1', 'dc0')
+    assert scene.review(0) == 'e1'
+    told = cell_test.only(scene.assigned(1))
+    assert (told.address, told.born_at, told.term) == ('a:1', 100, 3)
+
+
+def test_target_stays_where_it_answers():
+    scene = Scene('dc0', 'dc0')
+    first = scene.review(0)
+    scene.leases.renew(scene.engine.session, first, 3000)
+    assert scene.review(5000) == first
+
+
+def test_target_that_falls_silent_is_given_to_another_entry():
+    scene = Scene('dc0', 'dc0')
+    first = scene.review(0)
+    assert scene.review(4000) != first
+
+
+def test_target_of_a_stopping_or_lost_entry_is_given_to_another():
+    scene = Scene('dc0', 'dc1')
+    assert scene.review(0) == 'e0'
+    scene.entries[0].is_stopping = True
+    assert scene.review(10) == 'e1'
+    scene.entries[0].is_stopping = False
+    scene.links.open.pop('e1')
+    assert scene.review(20) == 'e0'
+
+
+def test_only_the_assigned_entry_may_renew():
+    scene = Scene('dc0', 'dc1')
+    scene.review(0)
+    session = scene.engine.session
+    assert scene.assignments.is_calling(session, 'e0')
+    assert not scene.assignments.is_calling(session, 'e1')
