--- a/mulberrywalk/replica/assignment_test.py
+++ b/mulberrywalk/replica/assignment_test.py
@@ -16,8 +16,9 @@
         self.open = {one.process: one for one in entries}
 
     def send(self, process, message):
-        if process in self.open:
-            self.open[process].send(message)
+        entry = self.open.get(process)
+        if entry is not None:
+            entry.send(message)
 
 
 @dataclasses.dataclass
