--- a/mulberrywalk/replica/leader.py
+++ b/mulberrywalk/replica/leader.py
@@ -120,7 +120,7 @@
         self._assignments = assignment.Assignments(
             self._engine, self.links, self._leases, self._delivery
         )
-        self._questions = question.Questions(self._engine, self.links)
+        self._questions = question.Questions(self.links)
         self.registry.reset()
         self._requests = request.Requests(
             self._engine,
--- a/mulberrywalk/replica/question.py
+++ b/mulberrywalk/replica/question.py
@@ -11,7 +11,7 @@
 from ..core import effect, identity
 from ..telemetry import clock
 from ..transport import wire
-from . import engine, link
+from . import link
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -25,9 +25,8 @@
 class Questions:
     """The open questions while this replica leads."""
 
-    def __init__(self, running: engine.Engine, links: link.Links) -> None:
+    def __init__(self, links: link.Links) -> None:
         """Start without questions."""
-        self._engine = running
         self._links = links
         self._open: dict[identity.StepId, Asked] = {}
 
--- a/mulberrywalk/replica/question_test.py
+++ b/mulberrywalk/replica/question_test.py
@@ -25,7 +25,7 @@
 
 def test_short_question_does_not_stand_behind_a_long_one():
     links = FakeLinks()
-    questions = question.Questions(None, links)
+    questions = question.Questions(links)
     questions.ask(wanted('a', 600))
     questions.ask(wanted('b', 20))
     questions.ask(wanted('c', 20))
@@ -36,13 +36,13 @@
 def test_stopping_entry_is_not_asked():
     links = FakeLinks()
     links.open['e0'].is_stopping = True
-    question.Questions(None, links).ask(wanted('a', 600))
+    question.Questions(links).ask(wanted('a', 600))
     assert asked(links, 'e1') == ['a']
 
 
 def test_answered_question_counts_no_more():
     links = FakeLinks()
-    questions = question.Questions(None, links)
+    questions = question.Questions(links)
     questions.ask(wanted('a', 600))
     questions.close('a')
     questions.ask(wanted('b', 20))
--- a/mulberrywalk/replica/registry.py
+++ b/mulberrywalk/replica/registry.py
@@ -26,22 +26,14 @@
     is_leaving: bool
 
 
-@dataclasses.dataclass(slots=True)
-class Latest:
-    """The newest announcement of a target."""
-
-    born_at: int
-    sequence: int
-    is_leaving: bool
-
-
 class Registry:
     """Turns announcements into sessions and departures."""
 
     def __init__(self, running: engine.Engine) -> None:
         """Start without having heard of any target."""
         self._engine = running
-        self._latest: dict[identity.TargetId, Latest] = {}
+        # The life and the sequence of the newest announcement of each target.
+        self._latest: dict[identity.TargetId, tuple[int, int]] = {}
 
     def reset(self) -> None:
         """Forget what was heard under an earlier leader."""
@@ -90,11 +82,8 @@
 
     def _is_late(self, sighting: Sighting) -> bool:
         announcement = sighting.announcement
-        latest = self._latest.get(announcement.target)
         stamp = (announcement.born_at, sighting.sequence)
-        if latest is not None and stamp < (latest.born_at, latest.sequence):
+        if stamp < self._latest.get(announcement.target, stamp):
             return True
-        self._latest[announcement.target] = Latest(
-            announcement.born_at, sighting.sequence, sighting.is_leaving
-        )
+        self._latest[announcement.target] = stamp
         return False
