--- a/mulberrywalk/core/admission.py
+++ b/mulberrywalk/core/admission.py
@@ -12,6 +12,7 @@
     job,
     lifecycle,
     outcome,
+    queueing,
     state,
     waiting,
     workflow,
@@ -58,7 +59,7 @@
     if specification.kind is job.Kind.WORKFLOW:
         workflow.begin(tables, record)
     for number, _ in enumerate(specification.tasks):
-        lifecycle.wait(tables, _create_task(record, number))
+        queueing.wait(tables, _create_task(record, number))
     tables.emit(
         effect.Trace(
             'accepted', job=record.job, detail=specification.request_id
@@ -80,7 +81,7 @@
         record = msgspec.structs.replace(record, is_cancelled=True)
         tables.jobs[record.job] = record
         for task in lifecycle.tasks_of(tables, record):
-            _cancel_task(tables, task)
+            lifecycle.call_off(tables, task, job.StopReason.CANCELLED)
         workflow.drop_occurrences(tables, record.job)
     return outcome.Cancelled(record.job, tables.jobs[record.job].state)
 
@@ -236,14 +237,3 @@
         waiting_since=record.submitted_at,
         sequence=record.sequence,
     )
-
-
-def _cancel_task(tables: state.State, task: job.Task) -> None:
-    if task.state is job.TaskState.BLOCKED:
-        lifecycle.finish(tables, task, job.TaskState.CANCELLED)
-    elif task.state is job.TaskState.WAITING:
-        lifecycle.stop_waiting(tables, task)
-        lifecycle.finish(tables, task, job.TaskState.CANCELLED)
-    elif task.attempt is not None:
-        attempt = tables.attempts[task.attempt]
-        lifecycle.stop(tables, attempt, job.StopReason.CANCELLED)
--- a/mulberrywalk/core/dispatch.py
+++ b/mulberrywalk/core/dispatch.py
@@ -52,8 +52,6 @@
 
 def run(tables: state.State) -> None:
     """Release what is due and place all that fits."""
-    for name in tables.waiting.due(tables.time):
-        lifecycle.enqueue(tables, tables.tasks[name])
     workflow.release_due(tables)
     tables.waiting.stuck.clear()
     health.release_due(tables)
--- a/mulberrywalk/core/lifecycle.py
+++ b/mulberrywalk/core/lifecycle.py
@@ -13,9 +13,9 @@
     health,
     identity,
     job,
+    queueing,
     retry,
     state,
-    waiting,
     workflow,
 )
 
@@ -39,48 +39,17 @@
 )
 
 
-def wait(tables: state.State, task: job.Task) -> None:
-    """Put a task into its queue, or aside, or among the delayed."""
-    tables.tasks[task.task] = task
-    tables.waiting.count(key_of(tables, task), 1)
-    if task.not_before > tables.time:
-        tables.waiting.delayed.add((task.not_before, task.task))
-        return
-    enqueue(tables, task)
-
-
-def enqueue(tables: state.State, task: job.Task) -> None:
-    """Put a waiting task that is due into its queue or aside.
-
-    Of a gang that was not placed yet, the first task stands for all.
-    """
-    kind = tables.specification(task).kind
-    if kind is job.Kind.WORKFLOW:
-        step = tables.steps[task.step_id()]
-        tables.waiting.add_of_step(
-            key_of(tables, task), position_of_step(step), task.number
-        )
-        return
-    if kind is job.Kind.GANG and task.number and not task.attempts:
-        return
-    demand = tables.demand(task)
-    if tables.fleet.could_fit(demand):
-        tables.waiting.add(key_of(tables, task), position_of(task))
-    else:
-        tables.waiting.aside[task.task] = demand
-
-
-def stop_waiting(tables: state.State, task: job.Task) -> None:
-    """Take a task out of the queue, the delayed and those set aside."""
-    key = key_of(tables, task)
-    tables.waiting.count(key, -1)
-    tables.waiting.delayed.discard((task.not_before, task.task))
-    step = tables.steps.get(task.step_id())
-    if step is not None:
-        tables.waiting.discard_of_step(key, position_of_step(step), task.number)
-        return
-    tables.waiting.discard(key, position_of(task))
-    tables.waiting.aside.pop(task.task, None)
+def call_off(
+    tables: state.State, task: job.Task, reason: job.StopReason
+) -> None:
+    """End a task that has not started, and stop one that is live."""
+    if task.state is job.TaskState.BLOCKED:
+        finish(tables, task, job.TaskState.CANCELLED)
+    elif task.state is job.TaskState.WAITING:
+        queueing.stop_waiting(tables, task)
+        finish(tables, task, job.TaskState.CANCELLED)
+    elif task.attempt is not None:
+        stop(tables, tables.attempts[task.attempt], reason)
 
 
 def place(
@@ -98,7 +67,7 @@
     session = tables.targets[load.target].session
     if session is None:
         raise AssertionError(f'{load.target} is open without a session')
-    stop_waiting(tables, task)
+    queueing.stop_waiting(tables, task)
     number = number or task.attempts + 1
     attempt = job.Attempt(
         attempt=identity.AttemptId(f'{task.task}/{number}'),
@@ -211,24 +180,6 @@
     ]
 
 
-def key_of(tables: state.State, task: job.Task) -> waiting.QueueKey:
-    """Return the queue that a task waits in."""
-    specification = tables.specification(task)
-    return waiting.queue_key(specification.urgency, specification.team)
-
-
-def position_of(task: job.Task) -> waiting.Position:
-    """Return the place of a task in its queue."""
-    return waiting.Position(
-        task.submitted_at, task.sequence, task.number, task.task
-    )
-
-
-def position_of_step(step: job.Step) -> waiting.Position:
-    """Return the place of a step in its queue."""
-    return waiting.Position(step.order, step.sequence, step.number, step.step)
-
-
 def count_pending(tables: state.State, record: job.Job, change: int) -> None:
     """Change how many jobs of a queue have not begun."""
     queue = record.specification.queue
@@ -368,15 +319,7 @@
     if retry.is_exhausted(tables, task):
         finish(tables, task, job.TaskState.FAILED)
         return
-    wait(
-        tables,
-        msgspec.structs.replace(
-            task,
-            state=job.TaskState.WAITING,
-            waiting_since=tables.time,
-            not_before=not_before,
-        ),
-    )
+    queueing.wait_again(tables, task, not_before)
 
 
 def _final_state(reason: job.EndReason) -> job.TaskState:
--- /dev/null
+++ b/mulberrywalk/core/queueing.py
@@ -0,0 +1,90 @@
+"""How tasks wait: in their queue, until a time, or set aside."""
+
+from __future__ import annotations
+
+import msgspec
+
+from . import job, state, waiting
+
+
+def wait(tables: state.State, task: job.Task) -> None:
+    """Put a task into its queue, or aside, or among the delayed."""
+    tables.tasks[task.task] = task
+    tables.waiting.count(key_of(tables, task), 1)
+    if task.not_before > tables.time:
+        tables.waiting.delayed.add((task.not_before, task.task))
+        return
+    enqueue(tables, task)
+
+
+def wait_again(
+    tables: state.State, task: job.Task, not_before: int = 0
+) -> None:
+    """Let a task wait from now on, not to be placed before a time."""
+    wait(
+        tables,
+        msgspec.structs.replace(
+            task,
+            state=job.TaskState.WAITING,
+            waiting_since=tables.time,
+            not_before=not_before,
+        ),
+    )
+
+
+def enqueue(tables: state.State, task: job.Task) -> None:
+    """Put a waiting task that is due into its queue or aside.
+
+    Of a gang that was not placed yet, the first task stands for all.
+    """
+    kind = tables.specification(task).kind
+    if kind is job.Kind.WORKFLOW:
+        step = tables.steps[task.step_id()]
+        tables.waiting.add_of_step(
+            key_of(tables, task), position_of_step(step), task.number
+        )
+        return
+    if kind is job.Kind.GANG and task.number and not task.attempts:
+        return
+    demand = tables.demand(task)
+    if tables.fleet.could_fit(demand):
+        tables.waiting.add(key_of(tables, task), position_of(task))
+    else:
+        tables.waiting.aside[task.task] = demand
+
+
+def release_due(tables: state.State) -> None:
+    """Let the tasks queue whose delay is over."""
+    for name in tables.waiting.due(tables.time):
+        enqueue(tables, tables.tasks[name])
+
+
+def stop_waiting(tables: state.State, task: job.Task) -> None:
+    """Take a task out of the queue, the delayed and those set aside."""
+    key = key_of(tables, task)
+    tables.waiting.count(key, -1)
+    tables.waiting.delayed.discard((task.not_before, task.task))
+    step = tables.steps.get(task.step_id())
+    if step is not None:
+        tables.waiting.discard_of_step(key, position_of_step(step), task.number)
+        return
+    tables.waiting.discard(key, position_of(task))
+    tables.waiting.aside.pop(task.task, None)
+
+
+def key_of(tables: state.State, task: job.Task) -> waiting.QueueKey:
+    """Return the queue that a task waits in."""
+    specification = tables.specification(task)
+    return waiting.queue_key(specification.urgency, specification.team)
+
+
+def position_of(task: job.Task) -> waiting.Position:
+    """Return the place of a task in its queue."""
+    return waiting.Position(
+        task.submitted_at, task.sequence, task.number, task.task
+    )
+
+
+def position_of_step(step: job.Step) -> waiting.Position:
+    """Return the place of a step in its queue."""
+    return waiting.Position(step.order, step.sequence, step.number, step.step)
--- a/mulberrywalk/core/session.py
+++ b/mulberrywalk/core/session.py
@@ -16,6 +16,7 @@
     job,
     lifecycle,
     outcome,
+    queueing,
     resource,
     state,
     target,
@@ -292,10 +293,10 @@
     ]
     for name in sorted((*queued, *tables.waiting.aside)):
         task = tables.tasks[name]
-        key = lifecycle.key_of(tables, task)
-        tables.waiting.discard(key, lifecycle.position_of(task))
+        key = queueing.key_of(tables, task)
+        tables.waiting.discard(key, queueing.position_of(task))
         tables.waiting.aside.pop(name, None)
-        lifecycle.enqueue(tables, task)
+        queueing.enqueue(tables, task)
 
 
 def _close_target(tables: state.State, session: target.Session) -> None:
--- a/mulberrywalk/core/snapshot.py
+++ b/mulberrywalk/core/snapshot.py
@@ -11,6 +11,7 @@
     health,
     job,
     lifecycle,
+    queueing,
     session,
     state,
     target,
@@ -124,7 +125,7 @@
         if task.state is job.TaskState.WAITING
     ]
     for task in waiting:
-        lifecycle.wait(tables, task)
+        queueing.wait(tables, task)
 
 
 def _restore_reservation(
--- a/mulberrywalk/core/workflow.py
+++ b/mulberrywalk/core/workflow.py
@@ -13,7 +13,7 @@
 
 import msgspec
 
-from . import event, identity, job, lifecycle, retry, state
+from . import event, identity, job, lifecycle, queueing, retry, state
 
 _PERCENT = 100
 _US_PER_MS = 1000
@@ -104,7 +104,8 @@
 
 
 def release_due(tables: state.State) -> None:
-    """Release the occurrences whose time has come."""
+    """Release the delayed tasks and occurrences whose time has come."""
+    queueing.release_due(tables)
     while tables.due and tables.due[0][0] <= tables.time:
         _, name = tables.due.pop(0)
         record = tables.jobs[name]
@@ -190,12 +191,12 @@
     numbers = list(tables.waiting.steps[name])
     members = members_of(tables, step)
     for number in numbers:
-        lifecycle.stop_waiting(tables, members[number])
+        queueing.stop_waiting(tables, members[number])
     tables.steps[name] = msgspec.structs.replace(
         step, order=step.order + _PUT_BACK_MS
     )
     for number in numbers:
-        lifecycle.wait(tables, members[number])
+        queueing.wait(tables, members[number])
     return True
 
 
@@ -288,19 +289,7 @@
     if step.blocked_by:
         tables.tasks[task.task] = task
     else:
-        _let_wait(tables, task)
-
-
-def _let_wait(tables: state.State, task: job.Task, not_before: int = 0) -> None:
-    lifecycle.wait(
-        tables,
-        msgspec.structs.replace(
-            task,
-            state=job.TaskState.WAITING,
-            waiting_since=tables.time,
-            not_before=not_before,
-        ),
-    )
+        queueing.wait_again(tables, task)
 
 
 def _is_completed(
@@ -346,7 +335,7 @@
         tables.steps[name] = step
         if step.blocked_by == 0:
             for task in members_of(tables, step):
-                _let_wait(tables, task)
+                queueing.wait_again(tables, task)
 
 
 def _run_again(
@@ -369,7 +358,7 @@
         lifecycle.finish(tables, task, job.TaskState.FAILED)
         _abandon(tables, task.job)
         return
-    _let_wait(tables, task, _restart_at(tables, task, ended.reason))
+    queueing.wait_again(tables, task, _restart_at(tables, task, ended.reason))
 
 
 def _restart_at(
@@ -435,20 +424,9 @@
     record = msgspec.structs.replace(record, is_abandoned=True)
     tables.jobs[name] = record
     for task in tasks_of(tables, record):
-        _abandon_task(tables, task)
+        lifecycle.call_off(tables, task, job.StopReason.ABANDONED)
     drop_occurrences(tables, name)
 
 
-def _abandon_task(tables: state.State, task: job.Task) -> None:
-    if task.state is job.TaskState.WAITING:
-        lifecycle.stop_waiting(tables, task)
-        lifecycle.finish(tables, task, job.TaskState.CANCELLED)
-    elif task.state is job.TaskState.BLOCKED:
-        lifecycle.finish(tables, task, job.TaskState.CANCELLED)
-    elif task.attempt is not None:
-        attempt = tables.attempts[task.attempt]
-        lifecycle.stop(tables, attempt, job.StopReason.ABANDONED)
-
-
 def _task_id(step: identity.StepId, index: int) -> identity.TaskId:
     return identity.TaskId(f'{step}.{index}')
