--- a/tests/platform_test.py
+++ b/tests/platform_test.py
@@ -260,6 +260,28 @@
     assert len(site.runs()) == 4
 
 
+def test_start_held_up_past_its_stop_runs_nothing(site):
+    name = '00000000000000dd'
+    for held in site.workers:
+        held.held_up = 100
+    site.submit(name, count=1)
+    site.wait(
+        lambda: any(worker.held_up < 100 for worker in site.workers),
+        'nothing was ordered',
+    )
+    assert site.call('DELETE', f'/jobs/{name}').status_code == 200
+    site.wait(
+        lambda: any(
+            reason == 'old'
+            for one in site.workers
+            for _, reason in one.rejected
+        ),
+        'no late order has arrived',
+    )
+    assert not site.runs()
+    assert site.state(name) == 'cancelled'
+
+
 def test_cancelled_job_is_stopped_and_barred(slow_site):
     name = '00000000000000bb'
     slow_site.submit(name)
--- a/tests/platform_worker.py
+++ b/tests/platform_worker.py
@@ -20,6 +20,7 @@
 _MS_PER_S = 1000
 _POLL_S = 0.005
 _BEAT_S = 0.5
+_HELD_UP_S = 2
 
 
 @dataclasses.dataclass
@@ -49,6 +50,7 @@
         self.runs: list[Run] = []
         self.barred: dict[str, int] = {}
         self.lost_answers = 0
+        self.held_up = 0
         self.rejected: list[tuple[str, str]] = []
         self._lock = threading.RLock()
         self._token = 0
@@ -134,6 +136,20 @@
         }
 
     def _start(self, body: dict[str, Any]) -> tuple[int, Any]:
+        if self.held_up:
+            self.held_up -= 1
+            late = threading.Timer(_HELD_UP_S, self._start_late, (body,))
+            late.start()
+            return 0, {}
+        return self._start_now(body)
+
+    def _start_late(self, body: dict[str, Any]) -> None:
+        """Carry out an order that was held up, without an answer."""
+        with self._lock:
+            self._settle()
+            self._start_now(body)
+
+    def _start_now(self, body: dict[str, Any]) -> tuple[int, Any]:
         task, number = body['task'], body['runId']
         live = {(run.task, run.number) for run in self.live()}
         if (task, number) in live:
@@ -241,7 +257,9 @@
         self.send_response(status)
         self.send_header('content-length', str(len(encoded)))
         self.end_headers()
-        self.wfile.write(encoded)
+        # An entry that has given up on the call has closed the connection.
+        with contextlib.suppress(BrokenPipeError, ConnectionResetError):
+            self.wfile.write(encoded)
 
     def log_message(self, *_: object) -> None:
         """Write nothing."""
