--- a/mulberrywalk/core/workflow.py
+++ b/mulberrywalk/core/workflow.py
@@ -6,23 +6,16 @@
 
 from __future__ import annotations
 
-import collections
-import functools
 import itertools
 from collections.abc import Callable
 
 import msgspec
 
-from . import event, identity, job, lifecycle, queueing, retry, state
+from . import event, identity, job, lifecycle, objective, queueing, retry, state
 
-_PERCENT = 100
-_US_PER_MS = 1000
-# An answer of the adviser on so many targets belongs to each step's chain.
-_ADVISED_TARGETS = 30
 _RESTART_MS = 200
 _LONGEST_RESTART_MS = 1600
 _FREE_FAILURES = 1
-_CHAINS_KEPT = 4096
 # A job that ends after so many times its objective is worth nothing.
 _WORTHLESS_AFTER = 3
 # Behind all work that is worth something, in the order that it had.
@@ -200,41 +193,12 @@
     return True
 
 
-def chain_ms(specification: job.Specification, number: int) -> int:
-    """Return the longest chain of estimates from a step to the end, in ms."""
-    return _chains(specification)[number]
-
-
-def objective_ms(specification: job.Specification) -> int:
-    """Return in which time after its release a job should be done."""
-    longest = max(_chains(specification), default=0)
-    return (
-        longest * specification.slack_percent // _PERCENT
-        + specification.objective_ms
-    )
-
-
 def runs_of(tables: state.State, step: job.Step) -> int:
     """Return the highest attempt number of any task of a step."""
     numbers = (task.attempts for task in members_of(tables, step))
     return max(itertools.chain(numbers, (0,)))
 
 
-@functools.lru_cache(maxsize=_CHAINS_KEPT)
-def _chains(specification: job.Specification) -> tuple[int, ...]:
-    advised = 0
-    if specification.advice is not None:
-        per_target = specification.advice.per_target_us * _ADVISED_TARGETS
-        advised = specification.advice.decision_ms + per_target // _US_PER_MS
-    chains: dict[int, int] = {}
-    followers: dict[int, int] = collections.defaultdict(int)
-    for number, step in reversed(list(enumerate(specification.steps))):
-        chains[number] = advised + step.estimate_ms + followers[number]
-        for earlier in step.after:
-            followers[earlier] = max(followers[earlier], chains[number])
-    return tuple(chain for _, chain in sorted(chains.items()))
-
-
 def _due_at(record: job.Job, occurrence: int) -> int:
     recurrence = record.specification.recurrence
     if recurrence is None:
@@ -254,7 +218,7 @@
         record, released=occurrence + 1
     )
     due_at = max(_due_at(record, occurrence), record.submitted_at)
-    latest = due_at + objective_ms(specification)
+    latest = due_at + objective.objective_ms(specification)
     for number, needs in enumerate(specification.steps):
         step = job.Step(
             step=job.step_id(record.job, occurrence, number),
@@ -262,10 +226,10 @@
             occurrence=occurrence,
             number=number,
             sequence=record.sequence,
-            order=latest - chain_ms(specification, number),
+            order=latest - objective.chain_ms(specification, number),
             worthless_at=due_at
-            + _WORTHLESS_AFTER * objective_ms(specification)
-            - chain_ms(specification, number),
+            + _WORTHLESS_AFTER * objective.objective_ms(specification)
+            - objective.chain_ms(specification, number),
             blocked_by=len(set(needs.after)),
             unfinished=needs.count,
         )
--- a/mulberrywalk/entry/called.py
+++ b/mulberrywalk/entry/called.py
@@ -7,21 +7,14 @@
 
 from __future__ import annotations
 
-import abc
-import dataclasses
-import enum
-
 import anyio
 from anyio.abc import TaskGroup
 
 from ..core import event, identity, job
 from ..telemetry import clock, journal
 from ..transport import wire
-from . import ending, pacing, session, upstream
+from . import calling, ending, pacing, session, upstream
 
-# A target's clock may be this much slow, in percent.
-_DRIFT_PERCENT = 2
-_WHOLE_PERCENT = 100
 _MS_PER_S = 1000
 # A start is sent only with so much of the lease left.
 _LEAST_LEASE_MS = 300
@@ -38,180 +31,38 @@
 _CALLS_AT_ONCE = 16
 
 
-class Answer(enum.Enum):
-    """What a target said to an order."""
-
-    DONE = 'done'
-    # A later leader has given orders here.
-    FENCED = 'fenced'
-    # The attempt, or a later one of its task, has ended or was stopped here.
-    BARRED = 'barred'
-    # The lease that the order carried had run out when it arrived.
-    LATE = 'late'
-    NO_ROOM = 'no_room'
-    NO_TICKET = 'no_ticket'
-    UNWELL = 'unwell'
-    INVALID = 'invalid'
-    # The life that the order was meant for is not there any more.
-    GONE = 'gone'
-    # No answer: the order may have been carried out, or may be later.
-    NONE = 'none'
-
-
 # Answers after which the attempt is barred and then known not to run.
 _REFUSALS = frozenset(
-    (Answer.NO_ROOM, Answer.NO_TICKET, Answer.UNWELL, Answer.INVALID)
+    (
+        calling.Answer.NO_ROOM,
+        calling.Answer.NO_TICKET,
+        calling.Answer.UNWELL,
+        calling.Answer.INVALID,
+    )
 )
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Destination:
-    """Where a target is called, and in which life."""
-
-    target: identity.TargetId
-    address: str
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Running:
-    """An attempt that runs; gauge is the tail of its response times in ms.
-
-    The gauge of a task that serves no users is the processor that it uses.
-    """
-
-    attempt: identity.AttemptId
-    checkpoint: str
-    gauge: int
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Ended:
-    """An attempt that has ended; number counts the ends of the life."""
-
-    number: int
-    attempt: identity.AttemptId
-    reason: job.EndReason
-    checkpoint: str
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Seen:
-    """What a look has shown; clock_ms is the target's own clock."""
-
-    clock_ms: int
-    born_at: int
-    running: tuple[Running, ...]
-    ended: tuple[Ended, ...]
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Glance:
-    """A look that is to be made.
-
-    until extends the lease to that time of the target's clock, None for not.
-    Ends up to acknowledged may be forgotten. wait_ms lets the answer wait for
-    an end.
-    """
-
-    term: int
-    until: int | None
-    acknowledged: int
-    wait_ms: int
-
-
-class TargetCaller(abc.ABC):
-    """Makes the calls to targets; each gives up by itself in time."""
-
-    @abc.abstractmethod
-    async def look(
-        self, destination: Destination, glance: Glance
-    ) -> Seen | Answer:
-        """Return what a look has shown, or why there is nothing."""
-
-    @abc.abstractmethod
-    async def start(
-        self,
-        destination: Destination,
-        command: wire.StartCommand,
-        until: int,
-        term: int,
-    ) -> Answer:
-        """Start an attempt under a lease until a time of the target."""
-
-    @abc.abstractmethod
-    async def stop(
-        self, destination: Destination, attempt: identity.AttemptId, term: int
-    ) -> Answer:
-        """Stop an attempt, and bar it where it was not started yet."""
-
-    @abc.abstractmethod
-    async def pace(
-        self,
-        destination: Destination,
-        attempt: identity.AttemptId,
-        percent: int,
-        term: int,
-    ) -> Answer:
-        """Let an attempt work at a share of its speed."""
-
-
-@dataclasses.dataclass(slots=True)
-class Lease:
-    """Until when a target may run what it was told to.
-
-    sampled_ms is a time of the target's clock that had passed at sampled_at
-    of the own one; granted_from is the own time from which the leader counts
-    the lease that it has granted.
-    """
-
-    length_ms: int
-    sampled_ms: int | None = None
-    sampled_at: int = 0
-    granted_from: int | None = None
-
-    def learn(self, clock_ms: int, received_at: int) -> None:
-        """Take a reading of the target's clock from an answer."""
-        self.sampled_ms = clock_ms
-        self.sampled_at = received_at
-
-    def until(self) -> int | None:
-        """Return the end of the lease by the target's clock, or None.
-
-        The clock may be slow and the answer may have been under way for
-        long: both make the lease end earlier than the leader counts.
-        """
-        if self.sampled_ms is None or self.granted_from is None:
-            return None
-        left = self.granted_from + self.length_ms - self.sampled_at
-        part = _WHOLE_PERCENT - _DRIFT_PERCENT
-        return self.sampled_ms + max(0, left) * part // _WHOLE_PERCENT
-
-    def left_ms(self, now: int) -> int:
-        """Return how much of the lease is left, zero for none."""
-        if self.sampled_ms is None or self.granted_from is None:
-            return 0
-        return max(0, self.granted_from + self.length_ms - now)
-
-
 class CalledTarget(session.TargetSession):
     """The session of one target that this entry calls."""
 
     def __init__(
         self,
         assigned: wire.Assignment,
-        caller: TargetCaller,
+        caller: calling.TargetCaller,
         leader: upstream.Upstream,
         sessions: session.Sessions,
         lines: journal.Journal,
     ) -> None:
         """Prepare; run makes the looks."""
         self.assigned = assigned
-        self._destination = Destination(assigned.target, assigned.address)
+        self._destination = calling.Destination(
+            assigned.target, assigned.address
+        )
         self._caller = caller
         self._leader = leader
         self._sessions = sessions
         self._journal = lines
-        self._lease = Lease(assigned.lease_ms)
+        self._lease = calling.Lease(assigned.lease_ms)
         self._term = assigned.term
         self._ready = anyio.Event()
         self._settled = anyio.Event()
@@ -293,14 +144,14 @@
     async def _look(self, wait_ms: int) -> bool:
         barred = dict(self._barred)
         sent_at = clock.monotonic_ms()
-        glance = Glance(
+        glance = calling.Glance(
             self._term,
             self._lease.until(),
             self._ledger.acknowledged,
             wait_ms,
         )
         seen = await self._caller.look(self._destination, glance)
-        if isinstance(seen, Answer):
+        if isinstance(seen, calling.Answer):
             self._note(f'look: {seen.value}')
             return False
         if seen.born_at != self.assigned.born_at:
@@ -313,7 +164,7 @@
         return True
 
     def _report(
-        self, seen: Seen, barred: dict[identity.AttemptId, str]
+        self, seen: calling.Seen, barred: dict[identity.AttemptId, str]
     ) -> None:
         now = clock.monotonic_ms()
         if seen.ended:
@@ -340,14 +191,17 @@
                 )
             )
 
-    def _find_started(self, seen: Seen) -> list[identity.AttemptId]:
+    def _find_started(self, seen: calling.Seen) -> list[identity.AttemptId]:
         names = [one.attempt for one in seen.running]
         started = [one for one in names if one not in self._confirmed]
         self._confirmed = set(names)
         return started
 
     def _find_barred(
-        self, seen: Seen, barred: dict[identity.AttemptId, str], now: int
+        self,
+        seen: calling.Seen,
+        barred: dict[identity.AttemptId, str],
+        now: int,
     ) -> list[event.AttemptEnd]:
         """Return the ends of what was barred and is nowhere to be seen."""
         present = {one.attempt for one in seen.running}
@@ -367,7 +221,7 @@
             for one in absent
         ]
 
-    def _find_saved(self, seen: Seen) -> list[event.AttemptCheckpoint]:
+    def _find_saved(self, seen: calling.Seen) -> list[event.AttemptCheckpoint]:
         fresh = [
             event.AttemptCheckpoint(one.attempt, one.checkpoint)
             for one in seen.running
@@ -382,7 +236,7 @@
     async def _start(self, command: wire.StartCommand, term: int) -> None:
         with anyio.move_on_after(_READY_S):
             await self._ready.wait()
-        answer = Answer.NONE
+        answer = calling.Answer.NONE
         for _ in range(_TRIES):
             until = self._lease.until()
             left_ms = self._lease.left_ms(clock.monotonic_ms())
@@ -395,16 +249,16 @@
                     self._destination, command, until, term
                 )
             self._note(f'start: {answer.value}', command.attempt)
-            if answer is not Answer.NONE:
+            if answer is not calling.Answer.NONE:
                 break
         await self._take_answer(command, answer, term)
 
     async def _take_answer(
-        self, command: wire.StartCommand, answer: Answer, term: int
+        self, command: wire.StartCommand, answer: calling.Answer, term: int
     ) -> None:
-        if answer is Answer.DONE:
+        if answer is calling.Answer.DONE:
             self._confirm(command.attempt)
-        elif answer is Answer.BARRED:
+        elif answer is calling.Answer.BARRED:
             self._note_barred(command.attempt, answer)
         elif answer in _REFUSALS:
             await self._refuse(command.attempt, answer, term)
@@ -417,28 +271,30 @@
         )
 
     async def _refuse(
-        self, attempt: identity.AttemptId, answer: Answer, term: int
+        self, attempt: identity.AttemptId, answer: calling.Answer, term: int
     ) -> None:
         """Bar a refused attempt: a copy of its start may still arrive."""
         async with self._limit:
             stopped = await self._caller.stop(self._destination, attempt, term)
-        if stopped in {Answer.DONE, Answer.BARRED}:
+        if stopped in {calling.Answer.DONE, calling.Answer.BARRED}:
             self._note_barred(attempt, answer)
 
     async def _stop(self, attempt: identity.AttemptId, term: int) -> None:
-        answer = Answer.NONE
+        answer = calling.Answer.NONE
         for _ in range(_TRIES):
             async with self._limit:
                 answer = await self._caller.stop(
                     self._destination, attempt, term
                 )
             self._note(f'stop: {answer.value}', attempt)
-            if answer is not Answer.NONE:
+            if answer is not calling.Answer.NONE:
                 break
-        if answer in {Answer.DONE, Answer.BARRED}:
+        if answer in {calling.Answer.DONE, calling.Answer.BARRED}:
             self._note_barred(attempt, answer)
 
-    def _note_barred(self, attempt: identity.AttemptId, answer: Answer) -> None:
+    def _note_barred(
+        self, attempt: identity.AttemptId, answer: calling.Answer
+    ) -> None:
         """Let a look tell whether the attempt is there after all."""
         if not self._barred and self._group is not None:
             self._group.start_soon(self._look_soon)
@@ -448,7 +304,7 @@
         await anyio.sleep(_GATHER_S)
         await self._look(0)
 
-    def _pace(self, seen: Seen) -> None:
+    def _pace(self, seen: calling.Seen) -> None:
         fillers = [
             one.attempt
             for one in seen.running
@@ -476,7 +332,7 @@
             answer = await self._caller.pace(
                 self._destination, attempt, percent, self._term
             )
-        if answer is not Answer.DONE:
+        if answer is not calling.Answer.DONE:
             self._paced.pop(attempt, None)
 
     def _note(self, what: str, attempt: str = '') -> None:
@@ -493,7 +349,7 @@
 
     def __init__(
         self,
-        caller: TargetCaller,
+        caller: calling.TargetCaller,
         leader: upstream.Upstream,
         sessions: session.Sessions,
         lines: journal.Journal,
--- a/mulberrywalk/entry/called_test.py
+++ b/mulberrywalk/entry/called_test.py
@@ -6,7 +6,7 @@
 from ..core import event, identity, job
 from ..telemetry import clock, cost, journal
 from ..transport import wire
-from . import called, session, upstream
+from . import called, calling, session, upstream
 
 TARGET = identity.TargetId('t1')
 SESSION = identity.SessionId('s1')
@@ -35,7 +35,7 @@
         ]
 
 
-class FakeTarget(called.TargetCaller):
+class FakeTarget(calling.TargetCaller):
     """Answers looks from lists, and orders by what it was told to say."""
 
     def __init__(self):
@@ -45,14 +45,14 @@
         self.starts = []
         self.stops = []
         self.paces = []
-        self.answer = called.Answer.DONE
+        self.answer = calling.Answer.DONE
         self.born_at = BORN
 
     async def look(self, destination, glance):
         await anyio.sleep(0.002)
         self.glances.append(glance)
         ended = [one for one in self.ended if one.number > glance.acknowledged]
-        return called.Seen(
+        return calling.Seen(
             clock.monotonic_ms(),
             self.born_at,
             tuple(self.running),
@@ -65,11 +65,11 @@
 
     async def stop(self, destination, attempt, term):
         self.stops.append(attempt)
-        return called.Answer.DONE
+        return calling.Answer.DONE
 
     async def pace(self, destination, attempt, percent, term):
         self.paces.append((attempt, percent))
-        return called.Answer.DONE
+        return calling.Answer.DONE
 
 
 def only(found):
@@ -127,8 +127,8 @@
 def test_ends_below_the_lowest_listed_one_count_as_acknowledged():
     target = FakeTarget()
     target.ended = [
-        called.Ended(57, FIRST, job.EndReason.COMPLETED, ''),
-        called.Ended(58, SECOND, job.EndReason.COMPLETED, ''),
+        calling.Ended(57, FIRST, job.EndReason.COMPLETED, ''),
+        calling.Ended(58, SECOND, job.EndReason.COMPLETED, ''),
     ]
 
     async def scenario(carried, leader):
@@ -145,8 +145,8 @@
 def test_end_is_not_acknowledged_before_those_that_came_earlier():
     target = FakeTarget()
     target.ended = [
-        called.Ended(1, FIRST, job.EndReason.COMPLETED, ''),
-        called.Ended(2, SECOND, job.EndReason.COMPLETED, ''),
+        calling.Ended(1, FIRST, job.EndReason.COMPLETED, ''),
+        calling.Ended(2, SECOND, job.EndReason.COMPLETED, ''),
     ]
 
     async def scenario(carried, leader):
@@ -202,7 +202,7 @@
 
 @pytest.mark.parametrize(
     'answer',
-    [called.Answer.NO_ROOM, called.Answer.NO_TICKET, called.Answer.UNWELL],
+    [calling.Answer.NO_ROOM, calling.Answer.NO_TICKET, calling.Answer.UNWELL],
 )
 def test_refused_start_is_barred_before_it_counts_as_not_started(answer):
     target = FakeTarget()
@@ -221,7 +221,7 @@
 
 def test_stopped_attempt_that_still_runs_is_not_reported_as_ended():
     target = FakeTarget()
-    target.running = [called.Running(FIRST, '', 0)]
+    target.running = [calling.Running(FIRST, '', 0)]
 
     async def scenario(carried, leader):
         carried.command(
@@ -240,7 +240,7 @@
 
 def test_start_without_an_answer_is_given_again_at_once():
     target = FakeTarget()
-    target.answer = called.Answer.NONE
+    target.answer = calling.Answer.NONE
 
     async def scenario(carried, leader):
         carried.command(wire.Commands(SESSION, start=(command(FIRST),), term=7))
@@ -252,13 +252,13 @@
 
 def test_unanswered_start_is_found_by_a_look():
     target = FakeTarget()
-    target.answer = called.Answer.NONE
+    target.answer = calling.Answer.NONE
 
     async def scenario(carried, leader):
         carried.command(wire.Commands(SESSION, start=(command(FIRST),), term=7))
         await anyio.sleep(0.02)
         assert not leader.reports('started')
-        target.running = [called.Running(FIRST, '', 0)]
+        target.running = [calling.Running(FIRST, '', 0)]
         await anyio.sleep(0.1)
 
     leader = play(target, scenario)
@@ -268,7 +268,7 @@
 def test_look_at_another_life_tells_nothing():
     target = FakeTarget()
     target.born_at = BORN + 1
-    target.ended = [called.Ended(1, FIRST, job.EndReason.FAILED, '')]
+    target.ended = [calling.Ended(1, FIRST, job.EndReason.FAILED, '')]
 
     async def scenario(carried, leader):
         await anyio.sleep(0.05)
@@ -291,8 +291,8 @@
 def test_filler_is_slowed_beside_a_task_over_its_latency_target():
     target = FakeTarget()
     target.running = [
-        called.Running(FIRST, '', 250),
-        called.Running(SECOND, '', 900),
+        calling.Running(FIRST, '', 250),
+        calling.Running(SECOND, '', 900),
     ]
 
     async def scenario(carried, leader):
@@ -311,11 +311,11 @@
 
 def test_checkpoints_are_reported_when_they_change():
     target = FakeTarget()
-    target.running = [called.Running(FIRST, 'a', 0)]
+    target.running = [calling.Running(FIRST, 'a', 0)]
 
     async def scenario(carried, leader):
         await anyio.sleep(0.05)
-        target.running = [called.Running(FIRST, 'b', 0)]
+        target.running = [calling.Running(FIRST, 'b', 0)]
         await anyio.sleep(0.05)
 
     leader = play(target, scenario)
--- a/mulberrywalk/platform/wire.py
+++ b/mulberrywalk/platform/wire.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from ..core import configuration, event, identity, job, resource
-from ..entry import called
+from ..entry import calling
 from ..replica import registry
 
 _PERCENT = 100
@@ -166,11 +166,11 @@
 )
 _REFUSALS = MappingProxyType(
     {
-        'fence': called.Answer.FENCED,
-        'old': called.Answer.BARRED,
-        'late': called.Answer.LATE,
-        'room': called.Answer.NO_ROOM,
-        'ticket': called.Answer.NO_TICKET,
+        'fence': calling.Answer.FENCED,
+        'old': calling.Answer.BARRED,
+        'late': calling.Answer.LATE,
+        'room': calling.Answer.NO_ROOM,
+        'ticket': calling.Answer.NO_TICKET,
     }
 )
 
@@ -257,7 +257,7 @@
     return registry.Sighting(announcement, read.seq, read.state == _DRAINING)
 
 
-def read_listing(body: bytes) -> called.Seen:
+def read_listing(body: bytes) -> calling.Seen:
     """Return what a worker lists; raises WireError."""
     try:
         read = _listings.decode(body)
@@ -265,16 +265,16 @@
         ended = tuple(_ended_of(row) for row in read.finished)
     except (msgspec.MsgspecError, IndexError) as error:
         raise WireError(str(error)) from error
-    return called.Seen(int(read.clock_ms), read.born, running, ended)
+    return calling.Seen(int(read.clock_ms), read.born, running, ended)
 
 
-def read_refusal(body: bytes) -> called.Answer:
+def read_refusal(body: bytes) -> calling.Answer:
     """Return why a worker refuses an order."""
     try:
         read = _refusals.decode(body)
     except msgspec.MsgspecError:
-        return called.Answer.INVALID
-    return _REFUSALS.get(read.reason, called.Answer.INVALID)
+        return calling.Answer.INVALID
+    return _REFUSALS.get(read.reason, calling.Answer.INVALID)
 
 
 def read_tickets(body: bytes) -> tuple[tuple[identity.TargetId, str], ...]:
@@ -300,18 +300,18 @@
     return identity.AttemptId(f'{task}/{run}')
 
 
-def _running_of(row: tuple[object, ...]) -> called.Running:
+def _running_of(row: tuple[object, ...]) -> calling.Running:
     """Return what a row of runs says: task, run, saved, percent, gauge."""
     gauge = row[_GAUGE] if len(row) > _GAUGE else 0
     is_measured = isinstance(gauge, int | float)
-    return called.Running(
+    return calling.Running(
         _attempt_of(row[0], row[1]),
         str(row[2] or ''),
         round(float(str(gauge))) if is_measured else 0,
     )
 
 
-def _ended_of(row: tuple[object, ...]) -> called.Ended:
+def _ended_of(row: tuple[object, ...]) -> calling.Ended:
     """Return what a row of ends says: number, task, run, how, saved."""
     if not isinstance(row[0], int):
         raise WireError(f'end {row[0]!r} is not numbered')
@@ -320,7 +320,7 @@
         raise WireError(f'end {row[3]!r} is not known')
     saved = str(row[4] or '')
     attempt = _attempt_of(row[1], row[2])
-    return called.Ended(row[0], attempt, reason, saved)
+    return calling.Ended(row[0], attempt, reason, saved)
 
 
 def _queue_of(route: Route) -> configuration.Queue:
--- a/mulberrywalk/platform/wire_test.py
+++ b/mulberrywalk/platform/wire_test.py
@@ -6,7 +6,7 @@
 import pytest
 
 from ..core import configuration, identity, job
-from ..entry import called
+from ..entry import calling
 from . import wire
 
 ROUTE = MappingProxyType(
@@ -185,7 +185,7 @@
         ],
     }
     seen = wire.read_listing(encoded(listing))
-    assert seen.running == (called.Running('j.0.1.17/2', 'saved', 300),)
+    assert seen.running == (calling.Running('j.0.1.17/2', 'saved', 300),)
     assert [one.reason for one in seen.ended] == [
         job.EndReason.COMPLETED,
         job.EndReason.FAILED,
@@ -217,12 +217,12 @@
         for reason in ('fence', 'old', 'late', 'room', 'ticket', 'odd')
     }
     assert told == {
-        'fence': called.Answer.FENCED,
-        'old': called.Answer.BARRED,
-        'late': called.Answer.LATE,
-        'room': called.Answer.NO_ROOM,
-        'ticket': called.Answer.NO_TICKET,
-        'odd': called.Answer.INVALID,
+        'fence': calling.Answer.FENCED,
+        'old': calling.Answer.BARRED,
+        'late': calling.Answer.LATE,
+        'room': calling.Answer.NO_ROOM,
+        'ticket': calling.Answer.NO_TICKET,
+        'odd': calling.Answer.INVALID,
     }
 
 
--- a/mulberrywalk/platform/worker.py
+++ b/mulberrywalk/platform/worker.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from ..core import identity
-from ..entry import adviser, called
+from ..entry import adviser, calling
 from ..telemetry import journal
 from ..transport import wire as messages
 from . import http, wire
@@ -31,11 +31,11 @@
 
 _STATUSES = MappingProxyType(
     {
-        http.OK: called.Answer.DONE,
-        http.BAD_REQUEST: called.Answer.INVALID,
-        _WRONG_LIFE: called.Answer.GONE,
-        http.TOO_MANY: called.Answer.UNWELL,
-        http.UNAVAILABLE: called.Answer.UNWELL,
+        http.OK: calling.Answer.DONE,
+        http.BAD_REQUEST: calling.Answer.INVALID,
+        _WRONG_LIFE: calling.Answer.GONE,
+        http.TOO_MANY: calling.Answer.UNWELL,
+        http.UNAVAILABLE: calling.Answer.UNWELL,
     }
 )
 
@@ -94,7 +94,7 @@
     return None
 
 
-class Worker(called.TargetCaller):
+class Worker(calling.TargetCaller):
     """Orders and looks as calls to workers."""
 
     def __init__(self, clients: Clients, lines: journal.Journal) -> None:
@@ -103,8 +103,8 @@
         self._lines = lines
 
     async def look(
-        self, destination: called.Destination, glance: called.Glance
-    ) -> called.Seen | called.Answer:
+        self, destination: calling.Destination, glance: calling.Glance
+    ) -> calling.Seen | calling.Answer:
         """Return what a look has shown, or why there is nothing."""
         body: dict[str, Any] = {
             'fencingToken': glance.term,
@@ -117,22 +117,22 @@
         seconds = _LOOK_S + glance.wait_ms / _MS_PER_S
         answered = await self._call(destination, 'hold', body, seconds)
         if answered is None:
-            return called.Answer.NONE
+            return calling.Answer.NONE
         if answered.status_code != http.OK:
             return _answer_of(answered)
         try:
             return wire.read_listing(answered.content)
         except wire.WireError as error:
             self._lines.warn(f'listing of {destination.target}: {error}')
-            return called.Answer.INVALID
+            return calling.Answer.INVALID
 
     async def start(
         self,
-        destination: called.Destination,
+        destination: calling.Destination,
         command: messages.StartCommand,
         until: int,
         term: int,
-    ) -> called.Answer:
+    ) -> calling.Answer:
         """Start an attempt under a lease until a time of the worker."""
         body = _order(command.attempt, term)
         body['spec'] = command.payload
@@ -145,35 +145,35 @@
 
     async def stop(
         self,
-        destination: called.Destination,
+        destination: calling.Destination,
         attempt: identity.AttemptId,
         term: int,
-    ) -> called.Answer:
+    ) -> calling.Answer:
         """Stop an attempt, and bar it where it was not started yet."""
         body = _order(attempt, term)
         return await self._order(destination, 'run-stop', body)
 
     async def pace(
         self,
-        destination: called.Destination,
+        destination: calling.Destination,
         attempt: identity.AttemptId,
         percent: int,
         term: int,
-    ) -> called.Answer:
+    ) -> calling.Answer:
         """Let an attempt work at a share of its speed."""
         body = _order(attempt, term)
         body['percent'] = percent
         return await self._order(destination, 'pace', body)
 
     async def _order(
-        self, destination: called.Destination, path: str, body: dict[str, Any]
-    ) -> called.Answer:
+        self, destination: calling.Destination, path: str, body: dict[str, Any]
+    ) -> calling.Answer:
         answered = await self._call(destination, path, body, _ORDER_S)
-        return called.Answer.NONE if answered is None else _answer_of(answered)
+        return calling.Answer.NONE if answered is None else _answer_of(answered)
 
     async def _call(
         self,
-        destination: called.Destination,
+        destination: calling.Destination,
         path: str,
         body: dict[str, Any],
         seconds: float,
@@ -223,7 +223,7 @@
     return {'task': task, 'runId': run, 'fencingToken': term}
 
 
-def _answer_of(answered: httpx.Response) -> called.Answer:
+def _answer_of(answered: httpx.Response) -> calling.Answer:
     if answered.status_code == http.CONFLICT:
         return wire.read_refusal(answered.content)
-    return _STATUSES.get(answered.status_code, called.Answer.NONE)
+    return _STATUSES.get(answered.status_code, calling.Answer.NONE)
