Refuse a request that never left an entry, with when to come back

Cause: a call made while an entry had no stream to a leader was answered 504 at the end of the caller's patience, although it had surely not been taken; the caller could not tell it from one that may have run. Ruled out: refusing as soon as the stream is lost. A failover takes about as long as a caller waits at the most, and the call is then sent on.

--- a/mulberrywalk/entry/caller.py
+++ b/mulberrywalk/entry/caller.py
@@ -108,7 +108,7 @@
             msgspec.json.encode(specification, order='sorted')
         ).hexdigest()
         submission = wire.Submit(specification, digest)
-        reply = await self._leader.call(submission, _CALL_S)
+        reply = await self._leader.propose(submission, _CALL_S)
         if reply is None:
             return answer.respond_unknown(specification.request_id)
         told = reply[codec.TAG]
@@ -257,7 +257,7 @@
     async def _ask(
         self, request: wire.Request, request_id: str = ''
     ) -> responses.Response:
-        reply = await self._leader.call(request, _CALL_S)
+        reply = await self._leader.propose(request, _CALL_S)
         if reply is None:
             return answer.respond_unknown(request_id)
         return answer.respond(reply)
--- a/mulberrywalk/entry/caller_test.py
+++ b/mulberrywalk/entry/caller_test.py
@@ -36,6 +36,9 @@
         self.asked.append(request)
         return self.reply
 
+    async def propose(self, request, seconds):
+        return await self.call(request, seconds)
+
 
 def client_of(leader):
     lines = journal.Journal(journal.Origin('e', 'd'))
--- a/mulberrywalk/entry/upstream.py
+++ b/mulberrywalk/entry/upstream.py
@@ -2,9 +2,7 @@
 
 from __future__ import annotations
 
-import contextlib
 import dataclasses
-import itertools
 from collections.abc import Callable
 from types import MappingProxyType
 from typing import Any
@@ -14,6 +12,7 @@
 from ..core import configuration
 from ..telemetry import clock, cost, journal
 from ..transport import channel, wire
+from . import pending
 
 # An entry that could not prove for this long that its configuration is
 # current takes no new work.
@@ -33,15 +32,6 @@
         self.address = address
 
 
-@dataclasses.dataclass(slots=True)
-class PendingCall:
-    """A call that was not answered yet; sent again to each new leader."""
-
-    request: wire.Request
-    body: dict[str, Any] | None = None
-    done: anyio.Event = dataclasses.field(default_factory=anyio.Event)
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Hooks:
     """Who takes what the leader sends for targets."""
@@ -76,15 +66,14 @@
         self.addresses = list(addresses)
         self._journal = lines
         self._meter = meter
-        self._calls: dict[int, PendingCall] = {}
-        self._tickets = itertools.count(1)
+        self._calls = pending.PendingCalls()
         self._outbox: channel.Outbox[wire.FromEntry] = channel.Outbox()
         self._confirmed_at = -current_ms
         self._is_linked = False
         self._takers: MappingProxyType[Any, Taker] = MappingProxyType(
             {
                 wire.Redirect: self._follow,
-                wire.Reply: self._take_reply,
+                wire.Reply: self._calls.answer,
                 wire.LeaderPulse: self._take_pulse,
                 wire.ConfigurationChanged: self._take_configuration,
                 wire.MembersChanged: self._take_members,
@@ -106,15 +95,16 @@
         self, request: wire.Request, seconds: float
     ) -> dict[str, Any] | None:
         """Return the reply to a request, or None when none came in time."""
-        ticket = next(self._tickets)
-        pending = PendingCall(request)
-        self._calls[ticket] = pending
-        self._put(wire.Call(ticket, request))
-        with contextlib.ExitStack() as stack:
-            stack.callback(self._calls.pop, ticket)
-            with anyio.move_on_after(seconds):
-                await pending.done.wait()
-        return pending.body
+        return (await self._ask(request, seconds)).body
+
+    async def propose(
+        self, request: wire.Request, seconds: float
+    ) -> dict[str, Any] | None:
+        """Return the reply, or a refusal when the request never left here.
+
+        None tells, as for call, that a leader may have taken it.
+        """
+        return (await self._ask(request, seconds)).tell()
 
     def add_addresses(self, addresses: tuple[str, ...]) -> None:
         """Dial these replicas too, besides those that are known."""
@@ -152,6 +142,15 @@
         self.addresses.append(address)
         return address
 
+    async def _ask(
+        self, request: wire.Request, seconds: float
+    ) -> pending.PendingCall:
+        with self._calls.open(request) as asked:
+            self._put(asked.message)
+            with anyio.move_on_after(seconds):
+                await asked.done.wait()
+            return asked
+
     def _put(self, message: wire.FromEntry) -> None:
         if self._is_linked:
             self._outbox.put(message)
@@ -163,8 +162,8 @@
             )
             self._outbox = channel.Outbox()
             self._is_linked = True
-            for ticket, pending in self._calls.items():
-                self._outbox.put(wire.Call(ticket, pending.request))
+            for message in self._calls.messages():
+                self._outbox.put(message)
             async with anyio.create_task_group() as group:
                 group.start_soon(self._write, stream)
                 group.start_soon(self._read, stream)
@@ -173,7 +172,8 @@
         messages: tuple[wire.FromEntry, ...] = ()
         while True:
             await stream.send(self._batch((*messages, self._pulse())))
-            messages = await self._outbox.take(channel.PULSE_S)
+            taken = await self._outbox.take(channel.PULSE_S)
+            messages = tuple(filter(self._calls.mark_sent, taken))
 
     async def _read(self, stream: ToLeader) -> None:
         while True:
@@ -222,12 +222,6 @@
         if self.ask_advice is not None:
             self.ask_advice(wanted)
 
-    def _take_reply(self, reply: wire.Reply) -> None:
-        pending = self._calls.get(reply.ticket)
-        if pending is not None:
-            pending.body = reply.body
-            pending.done.set()
-
     def _take_pulse(self, pulse: wire.LeaderPulse) -> None:
         current = self.configuration
         if current is not None and current.version == pulse.version:
--- a/mulberrywalk/platform/front.py
+++ b/mulberrywalk/platform/front.py
@@ -135,17 +135,17 @@
         submission = messages.Submit(
             specification, wire.digest_of(request.body)
         )
-        reply = await self._leader.call(submission, seconds)
+        reply = await self._leader.propose(submission, seconds)
         return self._respond('submit', name, reply)
 
     async def _cancel(self, name: str, seconds: float) -> http.Response:
         cancelled = messages.Cancel(identity.JobId(name))
-        reply = await self._leader.call(cancelled, seconds)
+        reply = await self._leader.propose(cancelled, seconds)
         return self._respond('cancel', name, reply)
 
     async def _get_state(self, name: str, seconds: float) -> http.Response:
         asked = messages.GetState(identity.JobId(name))
-        reply = await self._leader.call(asked, seconds)
+        reply = await self._leader.propose(asked, seconds)
         if reply is not None and reply[codec.TAG] == 'job_state':
             state = _STATES[job.JobState(reply['state'])]
             return http.Response(http.OK, {'state': state})
--- a/mulberrywalk/platform/front_test.py
+++ b/mulberrywalk/platform/front_test.py
@@ -41,6 +41,9 @@
         self.asked.append(request)
         return self.reply
 
+    async def propose(self, request, seconds):
+        return await self.call(request, seconds)
+
 
 class Parts:
     """What the interface is composed with."""
