Apply what is committed in slices, and what a disk knows to be committed at once

It also carried out the effects of all that was replayed. Ruled out: the election timeout (0.77 s from the start to the first vote). Change: replica/machine.py holds the state and what waits to be applied; a round applies for 40 ms at the most. Each batch on the disk tells the commit index, so that a replica that starts applies up to it while it waits for a leader. A leader begins its duties when all of earlier terms is applied, and derives them from the state; replayed entries have no effects.

--- a/mulberrywalk/consensus/raft.py
+++ b/mulberrywalk/consensus/raft.py
@@ -22,20 +22,23 @@
     *,
     vote: node.SaveVote,
     now: int,
+    committed: int = 0,
 ) -> node.Node:
     """Return the state of a replica that starts from its disk.
 
     All entries of the log count as synced. The replica counts as having just
     heard from a leader, because it may have promised one a lease before it
-    stopped.
+    stopped. committed is the commit index that the disk remembers; entries up
+    to it are not handed out again.
     """
     state = node.Node(identity=identity, log=log, timing=timing)
     state.term = vote.term
     state.vote = vote.vote
     state.now = now
     state.heard_at = now
-    state.commit_index = log.snapshot_index
-    state.applied_index = log.snapshot_index
+    known = max(log.snapshot_index, min(committed, log.last_index()))
+    state.commit_index = known
+    state.applied_index = known
     state.synced_index = log.last_index()
     state.membership = log.membership_at(log.last_index())
     state.election_at = now + node.election_timeout(state)
--- a/mulberrywalk/consensus/raft_test.py
+++ b/mulberrywalk/consensus/raft_test.py
@@ -31,6 +31,7 @@
     vote: node.SaveVote
     entries: list
     snapshot: message.Snapshot | None = None
+    committed: int = 0
     unsynced: list = dataclasses.field(default_factory=list)
     held: list = dataclasses.field(default_factory=list)
 
@@ -86,11 +87,15 @@
             disk.log(self.founders),
             TIMING,
             vote=disk.vote,
+            committed=disk.committed,
             now=self.now,
         )
         self.nodes[name] = state
         held = disk.snapshot.payload if disk.snapshot else b'[]'
         self.applied[name] = msgspec.json.decode(held)
+        for entry in state.log.entries:
+            if entry.index <= state.applied_index:
+                self.apply(name, node.Apply(entry))
 
     def step(self, name, entered):
         if name not in self.paused:
@@ -150,6 +155,7 @@
         disk = self.disks[name]
         disk.sync()
         state = self.nodes[name]
+        disk.committed = max(disk.committed, state.commit_index)
         self.network.extend(disk.held)
         disk.held.clear()
         self.step(
--- a/mulberrywalk/replica/engine.py
+++ b/mulberrywalk/replica/engine.py
@@ -1,8 +1,9 @@
 """The loop of a replica: consensus, disk and the reducer in order.
 
 One round takes all inputs that have arrived, writes and syncs once, sends,
-and applies what became committed. Inputs that arrive while the disk syncs
-make the next round.
+and applies what became committed, for a limited time: what is left then
+follows in the next rounds. Inputs that arrive while the disk syncs make the
+next round.
 """
 
 from __future__ import annotations
@@ -16,30 +17,19 @@
 from anyio.to_thread import run_sync
 
 from ..consensus import message, node, raft
-from ..core import effect, event, outcome, reducer, snapshot, state
+from ..core import effect, event, outcome, snapshot, state
 from ..storage import disk as storage
 from ..telemetry import clock, journal
+from . import machine, proposal
 
 TICK_S = 0.03
-BATCH_EVENTS = 256
+# Less than a heartbeat, so that a leader with much to apply stays one.
+APPLY_MS = 40
 _TRAILING_ENTRIES = 1000
 
-_events_decoder = msgspec.msgpack.Decoder(list[event.Event])
 _encoder = msgspec.msgpack.Encoder()
 
 
-# Told None when this replica cannot tell whether the event was committed.
-Told = Callable[[outcome.Outcome | None], None]
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Proposal:
-    """An event on its way through the log, and who is told its outcome."""
-
-    occurred: event.Event
-    told: Told
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Callbacks:
     """What the engine calls: to send, and about what it has applied.
@@ -53,6 +43,13 @@
     changed: Callable[[], None]
 
 
+def _ignore(*_: object) -> None:
+    """Do nothing, before the engine is composed."""
+
+
+NO_CALLBACKS = Callbacks(_ignore, _ignore, _ignore)
+
+
 class Engine:
     """Runs one replica over its disk."""
 
@@ -66,26 +63,35 @@
         snapshot_entries: int,
     ) -> None:
         """Restore state and log from what the disk holds."""
-        self.tables = _restore(loaded)
         self.node = raft.create(
             loaded.identity.identity,
             loaded.log,
             timing,
             vote=loaded.vote,
+            committed=loaded.committed,
             now=clock.monotonic_ms(),
         )
-        self.callbacks: Callbacks | None = None
+        known = self.node.applied_index - loaded.log.snapshot_index
+        self._machine = machine.Machine(
+            loaded.snapshot,
+            loaded.log.slice(loaded.log.snapshot_index + 1, known),
+        )
+        self.callbacks = NO_CALLBACKS
         self._disk = disk
         self._journal = lines
         self._snapshot_entries = snapshot_entries
         self._snapshot_index = loaded.log.snapshot_index
         self._inputs: list[node.Input] = []
-        self._proposals: list[Proposal] = []
-        self._pending: dict[int, list[Proposal]] = {}
+        self._proposals = proposal.Proposals()
         self._wake = anyio.Event()
         self._is_dispatch_due = False
         self._clock = clock.SlewedClock()
 
+    @property
+    def tables(self) -> state.State:
+        """The state as far as it was applied."""
+        return self._machine.tables
+
     def time(self) -> int:
         """Return the time for events, in milliseconds since 1970."""
         return self._clock.read()
@@ -95,9 +101,9 @@
         self._inputs.append(entered)
         self._wake.set()
 
-    def propose(self, occurred: event.Event, told: Told) -> None:
+    def propose(self, occurred: event.Event, told: proposal.Told) -> None:
         """Queue an event for the log; told is called with its outcome."""
-        self._proposals.append(Proposal(occurred, told))
+        self._proposals.add(occurred, told)
         self._wake.set()
 
     async def decide(self, occurred: event.Event) -> outcome.Outcome | None:
@@ -127,18 +133,21 @@
         True on a leader whose lease holds and that has applied all entries
         of earlier terms.
         """
-        return (
-            node.holds_lease(self.node, clock.monotonic_ms())
-            and self.node.applied_index >= self.node.term_started_index
+        return self.has_caught_up() and node.holds_lease(
+            self.node, clock.monotonic_ms()
         )
 
+    def has_caught_up(self) -> bool:
+        """Return whether all entries of earlier terms are applied."""
+        return self._machine.applied_index >= self.node.term_started_index
+
     def process(self) -> str:
         """Return the name of this process."""
         return self._journal.origin.process
 
     def backlog(self) -> int:
         """Return how many events wait for the log."""
-        return len(self._proposals)
+        return self._proposals.count_waiting()
 
     async def run(self) -> None:
         """Run rounds for ever; raises StorageError when the disk fails."""
@@ -146,9 +155,10 @@
             with anyio.move_on_after(TICK_S):
                 await self._wake.wait()
             self._wake = anyio.Event()
-            await self._run_round()
+            await self.run_round()
 
-    async def _run_round(self) -> None:
+    async def run_round(self) -> None:
+        """Take what has arrived, and carry out what follows from it."""
         inputs = self._inputs
         self._inputs = []
         effects = raft.step(self.node, node.Tick(clock.monotonic_ms()))
@@ -156,40 +166,28 @@
             effects.extend(raft.step(self.node, entered))
         effects.extend(self._propose_batch())
         await self._carry_out(effects)
+        self._apply_committed()
         await self._take_snapshot()
 
     def _propose_batch(self) -> list[node.Effect]:
         if self.node.role is not node.Role.LEADER:
-            self._give_up()
+            self._proposals.give_up()
             return []
-        if self.node.handover_to is not None:
+        if self.node.handover_to is not None or self._machine.is_behind():
             return []
-        if not self._proposals and not self._is_dispatch_due:
+        if not self.backlog() and not self._is_dispatch_due:
             return []
-        batch = self._proposals[:BATCH_EVENTS]
-        self._proposals = self._proposals[BATCH_EVENTS:]
-        if self._proposals:
-            self._wake.set()
         self._is_dispatch_due = False
-        events = [proposal.occurred for proposal in batch]
+        events = self._proposals.take(self.node.log.last_index() + 1)
         events.append(event.TimePassed(self.time()))
-        index = self.node.log.last_index() + 1
-        self._pending[index] = batch
+        if self.backlog():
+            self._wake.set()
         return raft.step(self.node, node.Proposed((_encoder.encode(events),)))
 
-    def _give_up(self) -> None:
-        # What was proposed here may yet be committed by another leader.
-        pending = itertools.chain.from_iterable(self._pending.values())
-        abandoned = [*pending, *self._proposals]
-        self._pending.clear()
-        self._proposals.clear()
-        for proposal in abandoned:
-            proposal.told(None)
-
     async def _carry_out(self, effects: list[node.Effect]) -> None:
         for sent in effects:
             if isinstance(sent, node.Send) and not sent.is_after_sync:
-                self._send(sent)
+                self.callbacks.send(sent.receiver, sent.body)
         applied: list[node.Effect] = []
         if await self._save_all(effects):
             last = self.node.log.last_index()
@@ -213,33 +211,21 @@
 
     def _finish(self, effected: node.Effect) -> None:
         if isinstance(effected, node.Send):
-            self._send_late(effected)
+            if effected.is_after_sync:
+                self.callbacks.send(effected.receiver, effected.body)
         elif isinstance(effected, node.Apply):
-            self._apply(effected.entry)
+            self._machine.take(effected.entry)
         elif isinstance(effected, node.SendSnapshot):
             self._send_snapshot(effected)
         elif isinstance(effected, node.RoleChanged):
             role = effected.role.value
             self._journal.record('role', f'{role} in term {effected.term}')
-            self._clock.advance(self.tables.time)
-            self._give_up()
-            self._changed()
-
-    def _send_late(self, sent: node.Send) -> None:
-        if sent.is_after_sync:
-            self._send(sent)
-
-    def _send(self, sent: node.Send) -> None:
-        if self.callbacks is not None:
-            self.callbacks.send(sent.receiver, sent.body)
-
-    def _changed(self) -> None:
-        if self.callbacks is not None:
+            self._proposals.give_up()
             self.callbacks.changed()
 
     def _send_snapshot(self, wanted: node.SendSnapshot) -> None:
         held = self._disk.snapshot()
-        if held is None or self.callbacks is None:
+        if held is None:
             return
         request = message.SnapshotRequest(wanted.term, held, wanted.sent_at)
         self.callbacks.send(wanted.receiver, request)
@@ -248,32 +234,44 @@
         self, saves: list[node.SaveVote | node.SaveEntries]
     ) -> None:
         if saves:
-            await run_sync(self._disk.write, saves)
+            committed = self.node.commit_index
+            await run_sync(self._disk.write, saves, committed)
 
     async def _install(self, received: message.Snapshot) -> None:
         await run_sync(self._disk.install_snapshot, received)
-        self.tables = snapshot.decode(received.payload)
+        self._machine.install(received)
         self._snapshot_index = received.index
         self._journal.record('snapshot installed', str(received.index))
-        self._changed()
+        self.callbacks.changed()
 
-    def _apply(self, entry: message.LogEntry) -> None:
-        if entry.kind is message.EntryKind.MEMBERSHIP:
-            self._changed()
-        if entry.kind is not message.EntryKind.COMMAND:
-            return
-        waiting = self._pending.pop(entry.index, [])
-        for position, occurred in enumerate(
-            _events_decoder.decode(entry.payload)
-        ):
-            _, effects = reducer.reduce(self.tables, occurred)
-            if position < len(waiting):
-                waiting[position].told(_answer(effects))
-            if self.node.role is node.Role.LEADER and self.callbacks:
+    def _apply_committed(self) -> None:
+        until = clock.monotonic_ms() + APPLY_MS
+        while self._machine.is_behind():
+            self._finish_entry(self._machine.apply_next())
+            if clock.monotonic_ms() >= until:
+                self._wake.set()
+                return
+
+    def _finish_entry(self, applied: machine.Applied) -> None:
+        """Tell the outcomes of an entry, and carry out its effects.
+
+        Entries of earlier terms have no effects here: whoever begins to lead
+        derives what is left to do from the state.
+        """
+        index = applied.entry.index
+        self._proposals.settle(index, applied.outcomes())
+        is_leading = self.node.role is node.Role.LEADER
+        begins = is_leading and index == self.node.term_started_index
+        if begins:
+            self._clock.advance(self.tables.time)
+        if begins or applied.entry.kind is message.EntryKind.MEMBERSHIP:
+            self.callbacks.changed()
+        if is_leading and index > self.node.term_started_index:
+            for effects in applied.effects:
                 self.callbacks.applied(effects)
 
     async def _take_snapshot(self) -> None:
-        applied = self.node.applied_index
+        applied = self._machine.applied_index
         if applied - self._snapshot_index < self._snapshot_entries:
             return
         term = self.node.log.term_at(applied)
@@ -290,16 +288,3 @@
         await run_sync(self._disk.rotate, self.node.log.last_index() + 1)
         kept = max(applied - _TRAILING_ENTRIES, 0)
         raft.step(self.node, node.Compacted(kept))
-
-
-def _restore(loaded: storage.Loaded) -> state.State:
-    if loaded.snapshot is None:
-        return state.State()
-    return snapshot.decode(loaded.snapshot.payload)
-
-
-def _answer(effects: list[effect.Effect]) -> outcome.Outcome:
-    first = effects[0]
-    if not isinstance(first, effect.Answer):
-        raise TypeError('the first effect of an event is its answer')
-    return first.outcome
--- a/mulberrywalk/replica/leader.py
+++ b/mulberrywalk/replica/leader.py
@@ -77,9 +77,15 @@
                 self._run_round(clock.monotonic_ms())
 
     def change_role(self) -> None:
-        """Start anew when this replica has begun to lead a term."""
+        """Start anew when this replica has begun to lead a term.
+
+        It begins once all entries of earlier terms are applied: what is left
+        to do is derived from the state then.
+        """
         running = self._engine.node
-        is_leading = running.role is node.Role.LEADER
+        is_leading = (
+            running.role is node.Role.LEADER and self._engine.has_caught_up()
+        )
         if is_leading and running.term != self._term:
             self._term = running.term
             self._begin()
--- a/mulberrywalk/storage/disk.py
+++ b/mulberrywalk/storage/disk.py
@@ -57,7 +57,13 @@
     entries: tuple[message.LogEntry, ...]
 
 
-Record: TypeAlias = VoteRecord | EntriesRecord
+class CommitRecord(msgspec.Struct, frozen=True, tag=True):
+    """An index up to which entries were known to be committed."""
+
+    index: int
+
+
+Record: TypeAlias = VoteRecord | EntriesRecord | CommitRecord
 
 _decoder = msgspec.msgpack.Decoder(list[Record])
 
@@ -70,6 +76,7 @@
     vote: node.SaveVote
     log: replica_log.Log
     snapshot: message.Snapshot | None
+    committed: int = 0
 
 
 def found(
@@ -117,15 +124,18 @@
             snapshot.index, snapshot.term, snapshot.membership
         )
     vote = node.SaveVote(0, None)
+    committed = 0
     segments = _segments(folder)
     for position, path in enumerate(segments):
         is_last = position == len(segments) - 1
         for record in _load_segment(path, is_last=is_last):
             if isinstance(record, VoteRecord):
                 vote = node.SaveVote(record.term, record.vote)
+            elif isinstance(record, CommitRecord):
+                committed = max(committed, record.index)
             else:
                 _replay(log, record.entries, path)
-    return Loaded(identity, vote, log, snapshot)
+    return Loaded(identity, vote, log, snapshot, committed)
 
 
 class Disk:
@@ -141,16 +151,24 @@
         self._written = 0
         self._open_segment(loaded.log.last_index() + 1)
 
-    def write(self, effects: list[node.SaveVote | node.SaveEntries]) -> None:
+    def write(
+        self,
+        effects: list[node.SaveVote | node.SaveEntries],
+        committed: int = 0,
+    ) -> None:
         """Append the records of one batch and sync once.
 
-        Raises StorageError when the disk refuses: nothing of the batch may
-        then be acknowledged.
+        committed is the index that is known to be committed; a replica that
+        starts again applies up to it before it has heard of a leader. Raises
+        StorageError when the disk refuses: nothing of the batch may then be
+        acknowledged.
         """
         votes = [one for one in effects if isinstance(one, node.SaveVote)]
         if votes:
             self._vote = votes[-1]
         records = [_record(effect) for effect in effects]
+        if committed:
+            records.append(CommitRecord(committed))
         blob = frame.pack(msgspec.msgpack.encode(records))
         try:
             _write_all(self._descriptor, blob)
--- a/mulberrywalk/storage/disk_test.py
+++ b/mulberrywalk/storage/disk_test.py
@@ -49,6 +49,24 @@
     assert loaded.log.last_index() == 5
 
 
+def test_load_knows_what_was_committed(folder):
+    opened = open_disk(folder)
+    opened.write([entries(1, 5)], committed=2)
+    opened.write([entries(6, 9)], committed=7)
+    assert disk.load(folder, 'a').committed == 7
+
+
+def test_a_torn_end_takes_its_commit_index_with_it(folder):
+    opened = open_disk(folder)
+    opened.write([entries(1, 5)], committed=2)
+    opened.write([entries(6, 9)], committed=7)
+    path = segments(folder)[-1]
+    path.write_bytes(path.read_bytes()[:-1])
+    loaded = disk.load(folder, 'a')
+    assert loaded.committed == 2
+    assert loaded.log.last_index() == 5
+
+
 def test_load_replaces_overwritten_entries(folder):
     opened = open_disk(folder)
     opened.write([entries(1, 5)])
