--- a/mulberrywalk/core/advice.py
+++ b/mulberrywalk/core/advice.py
@@ -113,11 +113,12 @@
     with_room = [
         load for load in candidates if resource.fits(demand, load.free)
     ]
-    allowed = [load for load in with_room if load.target in known]
-    if allowed:
-        return tuple(load.target for load in allowed[:MOST_ASKED])
     if not with_room:
         return ()
+    if any(load.target in known for load in with_room):
+        # Who is allowed never changes, and the answer is mostly waited for,
+        # however few are asked about.
+        candidates = [load for load in candidates if load.target in known]
     ordered = sorted(
         candidates,
         key=lambda load: (
--- a/mulberrywalk/core/event.py
+++ b/mulberrywalk/core/event.py
@@ -62,6 +62,14 @@
     session: identity.SessionId
 
 
+class SilenceNoted(msgspec.Struct, frozen=True, tag=True):
+    """A target has not renewed its lease for long, or has done so again."""
+
+    at: int
+    session: identity.SessionId
+    is_silent: bool
+
+
 class DepartureAnnounced(msgspec.Struct, frozen=True, tag=True):
     """A target is leaving and takes no new work."""
 
@@ -154,6 +162,7 @@
     | JobCancelled
     | SessionOpened
     | SessionExpired
+    | SilenceNoted
     | DepartureAnnounced
     | ReportReceived
     | ConfigurationPatched
--- a/mulberrywalk/core/reducer.py
+++ b/mulberrywalk/core/reducer.py
@@ -63,6 +63,14 @@
     return session.depart(tables, occurred.session)
 
 
+def _note_silence(
+    tables: state.State, occurred: event.SilenceNoted
+) -> outcome.Outcome:
+    return session.note_silence(
+        tables, occurred.session, is_silent=occurred.is_silent
+    )
+
+
 def _report(
     tables: state.State, occurred: event.ReportReceived
 ) -> outcome.Outcome:
@@ -85,6 +93,7 @@
             event.JobCancelled: admission.cancel,
             event.SessionOpened: _open_session,
             event.SessionExpired: _expire_session,
+            event.SilenceNoted: _note_silence,
             event.DepartureAnnounced: _depart,
             event.ReportReceived: _report,
             event.ConfigurationPatched: amendment.patch,
--- a/mulberrywalk/core/reducer_test.py
+++ b/mulberrywalk/core/reducer_test.py
@@ -110,6 +110,12 @@
         session = self.pick(self.cell.tables.sessions, choice)
         self.cell.apply(event.DepartureAnnounced, session)
 
+    @precondition(lambda machine: machine.cell.tables.sessions)
+    @rule(choice=CHOICE, is_silent=st.booleans())
+    def note_silence(self, choice, is_silent):
+        session = self.pick(self.cell.tables.sessions, choice)
+        self.cell.apply(event.SilenceNoted, session, is_silent)
+
     @precondition(lambda machine: machine.cell.tables.jobs)
     @rule(choice=CHOICE)
     def cancel(self, choice):
--- a/mulberrywalk/core/session.py
+++ b/mulberrywalk/core/session.py
@@ -111,6 +111,24 @@
     return outcome.Recorded()
 
 
+def note_silence(
+    tables: state.State, identifier: identity.SessionId, *, is_silent: bool
+) -> outcome.Outcome:
+    """Place nothing on a target that is silent, until it is heard again."""
+    session = tables.sessions.get(identifier)
+    if session is None:
+        return _gone(identifier)
+    record = tables.targets[session.target]
+    if record.session == identifier and record.is_silent != is_silent:
+        tables.targets[record.target] = msgspec.structs.replace(
+            record, is_silent=is_silent
+        )
+        health.refresh(tables, record.target)
+        told = 'silent' if is_silent else 'heard again'
+        tables.emit(effect.Trace(told, target=record.target))
+    return outcome.Recorded()
+
+
 def report(
     tables: state.State, received: event.ReportReceived
 ) -> outcome.Outcome:
@@ -302,7 +320,9 @@
 def _close_target(tables: state.State, session: target.Session) -> None:
     record = tables.targets[session.target]
     if record.session == session.session:
-        record = msgspec.structs.replace(record, session=None, is_leaving=False)
+        record = msgspec.structs.replace(
+            record, session=None, is_leaving=False, is_silent=False
+        )
         tables.targets[record.target] = record
         health.refresh(tables, record.target)
     # Earlier sessions of the target may still hold capacity.
--- a/mulberrywalk/core/session_test.py
+++ b/mulberrywalk/core/session_test.py
@@ -31,3 +31,25 @@
     fitting = cell.submit(cell_test.specify(99))
     cell.dispatch()
     assert cell.task(fitting.job).state is job.TaskState.PLACED
+
+
+def test_a_silent_target_takes_no_new_work_until_it_is_heard():
+    cell = cell_test.Cell(targets=1)
+    session = cell_test.only(cell.tables.sessions)
+    cell.apply(event.SilenceNoted, session, is_silent=True)
+    cell.submit(cell_test.specify(1))
+    cell.dispatch()
+    assert not cell.tables.attempts
+    cell.apply(event.SilenceNoted, session, is_silent=False)
+    cell.dispatch()
+    assert len(cell.tables.attempts) == 1
+
+
+def test_a_new_session_of_a_silent_target_takes_work():
+    cell = cell_test.Cell(targets=1)
+    session = cell_test.only(cell.tables.sessions)
+    cell.apply(event.SilenceNoted, session, is_silent=True)
+    cell.open_session(0, ended=session)
+    cell.submit(cell_test.specify(1))
+    cell.dispatch()
+    assert len(cell.tables.attempts) == 1
--- a/mulberrywalk/core/target.py
+++ b/mulberrywalk/core/target.py
@@ -25,7 +25,8 @@
 class Target(msgspec.Struct, frozen=True, gc=False):
     """An instance that runs tasks; session is the one that takes new work.
 
-    address is where a target is called, empty for one that dials in.
+    address is where a target is called, empty for one that dials in. One that
+    is_silent may be at work, but takes no new work.
     """
 
     target: identity.TargetId
@@ -38,6 +39,7 @@
     pool: identity.Pool = identity.Pool('')
     labels: tuple[str, ...] = ()
     address: str = ''
+    is_silent: bool = False
 
 
 class Session(msgspec.Struct, frozen=True, gc=False):
--- a/mulberrywalk/replica/leader.py
+++ b/mulberrywalk/replica/leader.py
@@ -24,6 +24,7 @@
     question,
     registry,
     request,
+    silence,
     status,
     view,
 )
@@ -126,6 +127,7 @@
         self._assignments = assignment.Assignments(
             self._engine, self.links, self._leases, self._delivery
         )
+        self._silences = silence.Silences(self._engine, self._leases)
         self._questions = question.Questions(self.links)
         self.registry.reset()
         self._requests = request.Requests(
@@ -168,7 +170,9 @@
             self._engine.propose(
                 event.SessionExpired(self._engine.time(), session), _ignore
             )
+        self._silences.review(now)
         self._assignments.review(now)
+        self._questions.review()
         self._delivery.resend(now)
         self._dispatch_when_due(now)
         if now - self._repaired_at >= _REPAIR_MS:
--- a/mulberrywalk/replica/view.py
+++ b/mulberrywalk/replica/view.py
@@ -106,6 +106,7 @@
             'rack': record.rack,
             'session': record.session,
             'is_leaving': record.is_leaving,
+            'is_silent': record.is_silent,
             'quarantined_until': record.health.until,
             'attempts': len(tables.fleet.loads[record.target].attempts),
             'capacity': msgspec.to_builtins(record.capacity),
@@ -204,6 +205,8 @@
         conditions.append('no_session')
     if record.is_leaving:
         conditions.append('leaving')
+    if record.is_silent:
+        conditions.append('silent')
     if record.health.until > tables.time:
         conditions.append('quarantined')
     if load.is_probed and load.attempts:
