Find the next leader without dialling a dead one; end what is fenced

A voter that refuses a shorter log stands at once. A fenced session of a called target ends. Ruled out: shorter election timeouts; a disk that is slow would cost the leader its office.

--- a/mulberrywalk/consensus/election.py
+++ b/mulberrywalk/consensus/election.py
@@ -133,11 +133,11 @@
 ) -> None:
     """Say whether this replica would vote; nothing is promised."""
     is_free = not (state.role is node.Role.LEADER or is_leased(state))
-    granted = (
-        is_free
-        and body.term > state.term
-        and _is_current(state, body.last_index, body.last_term)
-    )
+    is_current = _is_current(state, body.last_index, body.last_term)
+    granted = is_free and body.term > state.term and is_current
+    if is_free and not is_current:
+        # The sender cannot win and this replica may: it need not wait on.
+        state.election_at = min(state.election_at, state.now)
     # A refusal tells the own term, so that a candidate whose log is the
     # longest but whose term is behind does not ask in vain for ever.
     reply = message.PreVoteReply(body.term if granted else state.term, granted)
--- a/mulberrywalk/consensus/raft_test.py
+++ b/mulberrywalk/consensus/raft_test.py
@@ -569,6 +569,21 @@
     assert state.membership == before
 
 
+def test_voter_with_the_longer_log_stands_at_once():
+    state = lonely('a', 'abc')
+    state.log.append(entry(1, 1))
+    before = raft.step(state, node.Tick(TIMING.election_ms + 1))
+    state.election_at = 10 * TIMING.election_ms
+    assert not sends(before)
+    asked = message.PreVoteRequest(5, 0, 0)
+    refused = raft.step(state, node.Received('b', asked))
+    assert not sends(refused)[-1].body.granted
+    stood = raft.step(state, node.Tick(state.now + 1))
+    assert any(
+        isinstance(one.body, message.PreVoteRequest) for one in sends(stood)
+    )
+
+
 def test_refused_pre_vote_tells_the_term():
     state = lonely('a', 'abc', term=5)
     raft.step(state, node.Tick(100))
--- a/mulberrywalk/entry/called.py
+++ b/mulberrywalk/entry/called.py
@@ -153,6 +153,9 @@
         seen = await self._caller.look(self._destination, glance)
         if isinstance(seen, calling.Answer):
             self._note(f'look: {seen.value}')
+            if seen is calling.Answer.FENCED:
+                # The entry that a later leader has chosen calls the target.
+                self.end()
             return False
         if seen.born_at != self.assigned.born_at:
             self._note(f'look: life of {seen.born_at}')
--- a/mulberrywalk/entry/called_test.py
+++ b/mulberrywalk/entry/called_test.py
@@ -157,6 +157,22 @@
     assert target.glances[-1].acknowledged == 0
 
 
+def test_a_fenced_entry_looks_no_more():
+    target = FakeTarget()
+    looks = []
+
+    async def refuse(destination, glance):
+        looks.append(glance)
+        return calling.Answer.FENCED
+
+    async def scenario(carried, leader):
+        target.look = refuse
+        await anyio.sleep(1.5)
+
+    play(target, scenario)
+    assert len(looks) == 1
+
+
 def test_start_carries_a_lease_that_ends_before_the_leader_counts():
     target = FakeTarget()
     asked_at = []
--- a/mulberrywalk/entry/caller.py
+++ b/mulberrywalk/entry/caller.py
@@ -200,7 +200,7 @@
             return answer.respond_error(answer.invalid(error))
         collected = self._journal.find(wanted)
         unreachable: list[str] = []
-        for address in list(self._leader.addresses):
+        for address in self._leader.addresses.all():
             lines = await _ask_timeline(address, wanted)
             if lines is None:
                 unreachable.append(address)
--- a/mulberrywalk/entry/upstream.py
+++ b/mulberrywalk/entry/upstream.py
@@ -12,7 +12,7 @@
 from ..core import configuration
 from ..telemetry import clock, cost, journal
 from ..transport import channel, wire
-from . import pending
+from . import address, pending
 
 # An entry that could not prove for this long that its configuration is
 # current takes no new work.
@@ -63,7 +63,7 @@
         self._current_ms = current_ms
         self.configuration: configuration.Configuration | None = None
         self.hooks: Hooks | None = None
-        self.addresses = list(addresses)
+        self.addresses = address.Addresses(addresses)
         self._journal = lines
         self._meter = meter
         self._calls = pending.PendingCalls()
@@ -106,12 +106,6 @@
         """
         return (await self._ask(request, seconds)).tell()
 
-    def add_addresses(self, addresses: tuple[str, ...]) -> None:
-        """Dial these replicas too, besides those that are known."""
-        known = set(self.addresses)
-        fresh = [one for one in addresses if one not in known]
-        self.addresses = [*fresh, *self.addresses]
-
     def send(self, message: wire.FromEntry) -> None:
         """Send a message that nobody waits for; dropped without a leader."""
         self._put(message)
@@ -120,28 +114,17 @@
         """Dial the replicas for ever, the leader first when it is known."""
         preferred = ''
         while True:
-            address = preferred or self._next_address()
+            dialled = preferred or self.addresses.next(clock.monotonic_ms())
             try:
-                await self._serve_link(address)
+                await self._serve_link(dialled)
             except* RedirectError as errors:
                 preferred = _first_address(errors)
             except* ConnectionError:
                 preferred = ''
-                self._put_last(address)
+                self.addresses.fail(dialled, clock.monotonic_ms())
             self._is_linked = False
             await anyio.sleep(_REDIAL_S)
 
-    def _put_last(self, address: str) -> None:
-        """Dial a replica that has failed after all others."""
-        if address in self.addresses:
-            self.addresses.remove(address)
-            self.addresses.append(address)
-
-    def _next_address(self) -> str:
-        address = self.addresses.pop(0)
-        self.addresses.append(address)
-        return address
-
     async def _ask(
         self, request: wire.Request, seconds: float
     ) -> pending.PendingCall:
@@ -155,8 +138,8 @@
         if self._is_linked:
             self._outbox.put(message)
 
-    async def _serve_link(self, address: str) -> None:
-        async with channel.dial(address) as dialled:
+    async def _serve_link(self, replica: str) -> None:
+        async with channel.dial(replica) as dialled:
             stream = channel.open_stream(
                 dialled, channel.LINK, wire.ToEntryBatch, self._meter
             )
@@ -212,7 +195,7 @@
         raise RedirectError(redirect.address)
 
     def _take_members(self, changed: wire.MembersChanged) -> None:
-        self.addresses = list(changed.addresses) or self.addresses
+        self.addresses.replace(changed.addresses)
 
     def _take_assignment(self, assigned: wire.Assignment) -> None:
         if self.assign is not None:
--- a/mulberrywalk/platform/entry.py
+++ b/mulberrywalk/platform/entry.py
@@ -102,7 +102,7 @@
             except msgspec.MsgspecError as error:
                 parts.lines.warn(f'settings: {error}')
                 continue
-            parts.leader.add_addresses(settings.seed_peers())
+            parts.leader.addresses.add(settings.seed_peers())
             parts.lines.record('settings read', ', '.join(settings.seeds))
 
 
--- a/mulberrywalk/replica/link.py
+++ b/mulberrywalk/replica/link.py
@@ -8,10 +8,15 @@
 
 import anyio
 
+from ..consensus import election
 from ..telemetry import cost, journal
 from ..transport import channel, wire
 from . import engine
 
+# Well within the silence after which an entry gives a stream up.
+_ELECTION_S = 0.5
+_POLL_S = 0.02
+
 FromStream = channel.Stream[wire.ToEntryBatch, wire.FromEntryBatch]
 
 
@@ -73,6 +78,7 @@
             first = await stream.receive()
         except ConnectionError:
             return
+        await self._wait_for_leader()
         if not self._engine.is_serving():
             await self._redirect(stream)
             return
@@ -115,13 +121,30 @@
                 )
             )
 
+    async def _wait_for_leader(self) -> None:
+        """Hold an entry that asks during an election until it is over."""
+        with anyio.move_on_after(_ELECTION_S):
+            while not self._engine.is_serving() and not self._find_leader():
+                await anyio.sleep(_POLL_S)
+
+    def _find_leader(self) -> str:
+        """Return the address of another replica that was heard leading.
+
+        One that was not heard lately may be the one that an entry has just
+        lost.
+        """
+        replica = self._engine.node
+        if not replica.leader or not election.is_leased(replica):
+            return ''
+        member = replica.membership.find(replica.leader)
+        is_other = member is not None and replica.leader != replica.identity
+        return member.address if member and is_other else ''
+
     async def _redirect(self, stream: FromStream) -> None:
-        leader = self._engine.node.leader
-        member = self._engine.node.membership.find(leader) if leader else None
-        is_other = member is not None and leader != self._engine.node.identity
-        address = member.address if member and is_other else ''
         try:
-            await stream.send(self._batch((wire.Redirect(address),)))
+            await stream.send(
+                self._batch((wire.Redirect(self._find_leader()),))
+            )
         except ConnectionError:
             return
 
