Learn how fast targets are, and leave the fast ones to urgent work

A step ends with its slowest task; urgent steps were packed on whatever was fullest. Ruled out: comparing with the estimates, which are rough.

--- a/mulberrywalk/core/session.py
+++ b/mulberrywalk/core/session.py
@@ -205,6 +205,7 @@
         pool=announcement.pool,
         labels=announcement.labels,
         address=announcement.address,
+        speed=known.speed if known else target.Speed(),
     )
     if record.address:
         tables.addresses[record.address] = record.target
--- a/mulberrywalk/core/staging.py
+++ b/mulberrywalk/core/staging.py
@@ -16,12 +16,15 @@
     job,
     lifecycle,
     resource,
+    speed,
     state,
     workflow,
 )
 
 # Targets that are looked at for a step without an adviser.
 _CANDIDATES = 64
+# Targets count as equally fast within so many permille.
+_ALIKE = 100
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -210,7 +213,13 @@
         return siblings, -load.free.millicores
     if needs.is_filler:
         return _count_serving(tables, load), -load.free.millicores
-    return 0, load.free.millicores
+    slowness = speed.slowness_of(tables, load.target)
+    urgency = tables.jobs[started.step.job].specification.urgency
+    if job.rank(urgency) == 0:
+        return slowness // _ALIKE, load.free.millicores
+    # Fast targets are left to urgent work, as long as there are others.
+    is_slow = slowness > speed.SLOW
+    return int(is_slow), -(slowness // _ALIKE), load.free.millicores
 
 
 def _count_serving(tables: state.State, load: fleet.TargetLoad) -> int:
--- a/mulberrywalk/core/target.py
+++ b/mulberrywalk/core/target.py
@@ -22,6 +22,13 @@
     until: int = 0
 
 
+class Speed(msgspec.Struct, frozen=True, gc=False):
+    """What a target takes for its tasks, in permille of the average."""
+
+    slowness: int = 1000
+    learned_at: int = 0
+
+
 class Silence(msgspec.Struct, frozen=True, gc=False):
     """A target had not renewed its lease for quiet_ms at the time noted_at.
 
@@ -50,6 +57,7 @@
     labels: tuple[str, ...] = ()
     address: str = ''
     silence: Silence | None = None
+    speed: Speed = Speed()
 
 
 class Session(msgspec.Struct, frozen=True, gc=False):
--- a/mulberrywalk/core/workflow.py
+++ b/mulberrywalk/core/workflow.py
@@ -11,7 +11,17 @@
 
 import msgspec
 
-from . import event, identity, job, lifecycle, objective, queueing, retry, state
+from . import (
+    event,
+    identity,
+    job,
+    lifecycle,
+    objective,
+    queueing,
+    retry,
+    speed,
+    state,
+)
 
 _RESTART_MS = 200
 _LONGEST_RESTART_MS = 1600
@@ -283,6 +293,7 @@
     tables.steps[step.step] = step
     lifecycle.finish(tables, task, job.TaskState.COMPLETED)
     if step.unfinished == 0:
+        speed.learn(tables, step, members_of(tables, step))
         _unblock(tables, step)
 
 
