Take work off targets that leave before it would end; one checkpoint a gang

Cause: what ran on a target that was taken away at short notice was lost with it, and known to be lost only when its lease had run out. Members of a gang that was run again carried each its own checkpoint; they have to carry the same. Change: a departure tells for how long the target stays at least (remaining_ms); what would not end by then is stopped with a checkpoint and goes on elsewhere (core/evacuation.py), lasting work always. Members of a gang share the first checkpoint that any of them has. Ruled out: evacuating all; short work mostly ends in time, and stopped it would be thrown away.

--- a/mulberrywalk/core/event.py
+++ b/mulberrywalk/core/event.py
@@ -74,10 +74,15 @@
 
 
 class DepartureAnnounced(msgspec.Struct, frozen=True, tag=True):
-    """A target is leaving and takes no new work."""
+    """A target is leaving and takes no new work.
+
+    remaining_ms is for how long it stays at least, None for as long as it is
+    needed.
+    """
 
     at: int
     session: identity.SessionId
+    remaining_ms: int | None = None
 
 
 class AttemptStart(msgspec.Struct, frozen=True):
--- a/mulberrywalk/core/reducer.py
+++ b/mulberrywalk/core/reducer.py
@@ -60,7 +60,7 @@
 def _depart(
     tables: state.State, occurred: event.DepartureAnnounced
 ) -> outcome.Outcome:
-    return session.depart(tables, occurred.session)
+    return session.depart(tables, occurred.session, occurred.remaining_ms)
 
 
 def _note_silence(
--- a/mulberrywalk/core/session.py
+++ b/mulberrywalk/core/session.py
@@ -9,6 +9,7 @@
 
 from . import (
     effect,
+    evacuation,
     event,
     fleet,
     health,
@@ -91,9 +92,14 @@
 
 
 def depart(
-    tables: state.State, identifier: identity.SessionId
+    tables: state.State,
+    identifier: identity.SessionId,
+    remaining_ms: int | None = None,
 ) -> outcome.Outcome:
-    """Place nothing more on a target and recall unconfirmed starts."""
+    """Place nothing more on a target, and recall what has not begun.
+
+    What would not end in the remaining time goes on elsewhere.
+    """
     session = tables.sessions.get(identifier)
     if session is None:
         return _gone(identifier)
@@ -108,6 +114,8 @@
         attempt = tables.attempts[name]
         if not attempt.started_at:
             lifecycle.stop(tables, attempt, job.StopReason.RECALLED)
+    if remaining_ms is not None:
+        evacuation.evacuate(tables, identifier, remaining_ms)
     return outcome.Recorded()
 
 
--- a/mulberrywalk/core/staging.py
+++ b/mulberrywalk/core/staging.py
@@ -9,6 +9,8 @@
 import dataclasses
 import itertools
 
+import msgspec
+
 from . import (
     advice,
     fleet,
@@ -135,8 +137,11 @@
     chosen: list[fleet.TargetLoad],
 ) -> None:
     run = workflow.runs_of(tables, started.step) + 1
-    for number, load in zip(numbers, chosen, strict=True):
-        task = _task(tables, started.step, number)
+    members = [_task(tables, started.step, number) for number in numbers]
+    # What any member has saved holds for all, and all have to carry the same.
+    saved = next((one.checkpoint for one in members if one.checkpoint), '')
+    for member, load in zip(members, chosen, strict=True):
+        task = msgspec.structs.replace(member, checkpoint=saved)
         _place(tables, started, task, load, run)
 
 
--- a/mulberrywalk/core/workflow_test.py
+++ b/mulberrywalk/core/workflow_test.py
@@ -104,6 +104,22 @@
     assert len(again) == 3
 
 
+def test_members_of_a_gang_go_on_from_the_same_checkpoint():
+    cell = cell_test.Cell(targets=3)
+    cell.submit(workflow(cell_test.step(3, is_gang=True)))
+    members = started(cell.dispatch())
+    for place, member in enumerate(members):
+        cell.start(member)
+        saved = event.AttemptCheckpoint(member.attempt, f'saved {place}')
+        cell.apply(event.ReportReceived, member.session, saved=(saved,))
+    for member in members:
+        cell.report(member, job.EndReason.GANG_BROKEN)
+    again = started(cell.dispatch(1000))
+    tasks = [cell.tables.tasks[one.task] for one in again]
+    assert len(tasks) == 3
+    assert {one.checkpoint for one in tasks} == {'saved 0'}
+
+
 def test_one_completed_member_stands_for_its_gang():
     cell = cell_test.Cell(targets=3)
     cell.submit(workflow(cell_test.step(2, is_gang=True)))
--- a/mulberrywalk/platform/wire.py
+++ b/mulberrywalk/platform/wire.py
@@ -124,6 +124,8 @@
     seq: int
     born: int
     labels: tuple[str, ...] = ()
+    # Told while the worker drains: the least time that it stays.
+    remaining_ms: float | None = msgspec.field(name='remainingMs', default=None)
 
 
 class Listing(msgspec.Struct, frozen=True, rename='camel'):
@@ -254,7 +256,16 @@
         born_at=read.born,
         lease_ms=lease_ms,
     )
-    return registry.Sighting(announcement, read.seq, read.state == _DRAINING)
+    return registry.Sighting(
+        announcement,
+        read.seq,
+        is_leaving=read.state == _DRAINING,
+        remaining_ms=_whole_ms(read.remaining_ms),
+    )
+
+
+def _whole_ms(told: float | None) -> int | None:
+    return None if told is None else int(told)
 
 
 def read_listing(body: bytes) -> calling.Seen:
--- a/mulberrywalk/replica/registry.py
+++ b/mulberrywalk/replica/registry.py
@@ -19,11 +19,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Sighting:
-    """One announcement; sequence counts those of the target's life."""
+    """One announcement; sequence counts those of the target's life.
+
+    remaining_ms is for how long a leaving target stays at least.
+    """
 
     announcement: event.Announcement
     sequence: int
     is_leaving: bool
+    remaining_ms: int | None = None
 
 
 class Registry:
@@ -55,7 +59,9 @@
             if not sighting.is_leaving or record.is_leaving:
                 return outcome.Recorded()
             return await self._engine.decide(
-                event.DepartureAnnounced(self._engine.time(), session)
+                event.DepartureAnnounced(
+                    self._engine.time(), session, sighting.remaining_ms
+                )
             )
         if sighting.is_leaving:
             return outcome.Recorded()
