--- a/mulberrywalk/replica/intake.py
+++ b/mulberrywalk/replica/intake.py
@@ -16,6 +16,7 @@
     engine,
     lease,
     link,
+    proposal,
     question,
     request,
     silence,
@@ -66,7 +67,7 @@
     ) -> None:
         self._engine.propose(
             event.DepartureAnnounced(self._engine.time(), received.session),
-            _ignore,
+            proposal.ignore,
         )
 
     def _take_pulse(self, origin: link.Link, received: wire.EntryPulse) -> None:
@@ -85,7 +86,7 @@
                 received.allowed,
                 received.age_ms,
             ),
-            _ignore,
+            proposal.ignore,
         )
 
     def _renew(self, origin: link.Link, received: wire.Renewals) -> None:
@@ -161,7 +162,3 @@
             ),
             tell,
         )
-
-
-def _ignore(told: outcome.Outcome | None) -> None:
-    """Take an outcome that nobody waits for."""
--- a/mulberrywalk/replica/leader.py
+++ b/mulberrywalk/replica/leader.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from ..consensus import node, repair
-from ..core import effect, event, identity, outcome, target
+from ..core import effect, event, identity, target
 from ..telemetry import clock, journal, metric
 from ..transport import wire
 from . import (
@@ -21,6 +21,7 @@
     intake,
     lease,
     link,
+    proposal,
     question,
     registry,
     request,
@@ -170,7 +171,8 @@
         expired = self._leases.expire(list(tables.sessions), now)
         for session in expired:
             self._engine.propose(
-                event.SessionExpired(self._engine.time(), session), _ignore
+                event.SessionExpired(self._engine.time(), session),
+                proposal.ignore,
             )
         self._silences.review(now)
         self._assignments.review(now)
@@ -283,7 +285,3 @@
             attempt=effected.attempt,
             target=effected.target,
         )
-
-
-def _ignore(told: outcome.Outcome | None) -> None:
-    """Take an outcome that nobody waits for."""
--- a/mulberrywalk/replica/proposal.py
+++ b/mulberrywalk/replica/proposal.py
@@ -22,6 +22,10 @@
     told: Told
 
 
+def ignore(told: outcome.Outcome | None) -> None:
+    """Take an outcome that nobody waits for."""
+
+
 class Proposals:
     """The events that wait for the log, and those that stand in it."""
 
--- a/mulberrywalk/replica/silence.py
+++ b/mulberrywalk/replica/silence.py
@@ -9,8 +9,8 @@
 
 from __future__ import annotations
 
-from ..core import event, identity, outcome, target
-from . import engine, lease
+from ..core import event, identity, target
+from . import engine, lease, proposal
 
 # A target at work is looked at far more often than an idle one.
 BUSY_MS = 1200
@@ -99,9 +99,5 @@
         self._noted[session] = bool(quiet_ms)
         self._engine.propose(
             event.SilenceNoted(self._engine.time(), session, quiet_ms),
-            _ignore,
+            proposal.ignore,
         )
-
-
-def _ignore(told: outcome.Outcome | None) -> None:
-    """Take an outcome that nobody waits for."""
--- a/tests/scene.py
+++ b/tests/scene.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import dataclasses
+import json
 import pathlib
 import time
 from collections.abc import Callable, Iterator
 from typing import Any
 
+import httpx
+
 from demo import audit, cell
 from tests import history, relay
 from tests import load as work_load
@@ -17,6 +20,8 @@
 RECOVERY_S = 40
 _POLL_S = 0.3
 _LEAST_SUBMISSIONS = 20
+_EXPLAINED = 3
+_UNENDED = frozenset(('queued', 'running'))
 
 
 @dataclasses.dataclass
@@ -94,7 +99,7 @@
     submissions = scene.seen.submissions
     if len(submissions) <= _LEAST_SUBMISSIONS:
         scene.work.errors.append('too little was submitted to tell anything')
-    return [
+    violations = [
         *scene.work.errors,
         *audit.check_overlaps(runs),
         *audit.check_capacity(runs, cell.CAPACITY),
@@ -105,6 +110,30 @@
         *history.check_versions(scene.seen),
         *history.check_departures(scene.running.history),
     ]
+    if violations:
+        violations.extend(_gather_evidence(scene, submissions))
+    return violations
+
+
+def _gather_evidence(
+    scene: Scene, submissions: list[history.Submission]
+) -> Iterator[str]:
+    """Yield what the cell says of itself while it still runs.
+
+    A failure that shows once can be traced only by that.
+    """
+    unended = [one.job for one in submissions if one.outcome in _UNENDED]
+    paths = [
+        '/v1/members',
+        '/v1/targets',
+        *(f'/v1/jobs/{name}/explanation' for name in unended[:_EXPLAINED]),
+    ]
+    for path in paths:
+        try:
+            shown = json.dumps(scene.running.get(path))
+        except (httpx.HTTPError, ValueError) as error:
+            shown = f'not to be had: {error}'
+        yield f'evidence {path}: {shown}'
 
 
 def members(scene: Scene) -> dict[str, Any]:
