Let a request wait a second while a leader is being found

Change: a request that comes without a proved configuration waits up to 1 s for it, within its caller's patience; then it is refused as before, with when to come back. Ruled out: waiting for the whole patience; what will be refused is to be told soon. Test: front_test.py, seen failing before the mend.

--- a/mulberrywalk/entry/upstream.py
+++ b/mulberrywalk/entry/upstream.py
@@ -18,6 +18,7 @@
 # current takes no new work.
 CURRENT_MS = 3000
 _REDIAL_S = 0.1
+_POLL_S = 0.02
 
 Taker = Callable[[Any], None]
 ToLeader = channel.Stream[wire.FromEntryBatch, wire.ToEntryBatch]
@@ -87,6 +88,13 @@
         is_known = self.configuration is not None
         return is_known and self.proof_age_ms() < self._current_ms
 
+    async def wait_until_current(self, seconds: float) -> bool:
+        """Return whether the configuration is, or soon was, proved current."""
+        with anyio.move_on_after(seconds):
+            while not self.is_current():
+                await anyio.sleep(_POLL_S)
+        return self.is_current()
+
     def proof_age_ms(self) -> int:
         """Return how long ago the configuration was proved current."""
         return clock.monotonic_ms() - self._confirmed_at
--- a/mulberrywalk/platform/front.py
+++ b/mulberrywalk/platform/front.py
@@ -21,6 +21,8 @@
 # An answer that says that none is known has to reach the caller in time.
 _ANSWER_MARGIN_S = 0.12
 _SHORTEST_S = 0.05
+# A request that comes while a leader is being found waits for so long.
+_HOLD_S = 1.0
 _RETRY_AFTER_S = 1
 _BODY_BYTES = 1_048_576
 
@@ -84,7 +86,8 @@
     async def _answer(self, request: http.Request) -> http.Response:
         if request.path == _READY_PATH:
             return self._answer_readiness()
-        if not self._leader.is_current():
+        asked_at = clock.monotonic_ms()
+        if not await self._leader.wait_until_current(_HOLD_S):
             age_ms = self._leader.proof_age_ms()
             self._lines.record(
                 'refused',
@@ -97,13 +100,17 @@
         if queue is None:
             self._lines.record('refused', f'no queue for {request.path}')
             return http.Response(http.NOT_FOUND, {'error': 'no such queue'})
-        return await self._answer_for_queue(request, queue)
+        held_s = (clock.monotonic_ms() - asked_at) / _MS_PER_S
+        return await self._answer_for_queue(request, queue, held_s)
 
     async def _answer_for_queue(
-        self, request: http.Request, queue: configuration.Queue
+        self,
+        request: http.Request,
+        queue: configuration.Queue,
+        held_s: float,
     ) -> http.Response:
         name = request.path[len(queue.path_prefix) :]
-        seconds = _patience_s(request, queue)
+        seconds = max(_SHORTEST_S, _patience_s(request, queue) - held_s)
         if request.method == 'GET' and not name:
             return await self._count(queue, seconds)
         if not _JOB.fullmatch(name):
--- a/mulberrywalk/platform/front_test.py
+++ b/mulberrywalk/platform/front_test.py
@@ -116,6 +116,15 @@
     assert not leader.asked
 
 
+def test_request_waits_while_a_leader_is_being_found():
+    leader = FakeLeader({codec.TAG: 'accepted', 'job': NAME})
+    readings = iter((False, False, False))
+    leader.is_current = lambda: next(readings, True)
+    status, _ = ask(leader, 'POST', f'/a/{NAME}', BODY)
+    assert status == 200
+    assert len(leader.asked) == 1
+
+
 def test_stopping_entry_is_not_ready_and_closes_connections():
     leader = FakeLeader({codec.TAG: 'pending', 'count': 0})
     assert ask(leader, 'GET', '/readyz', is_draining=True)[0] == 503
