Correct estimates by what tasks of their queue have taken

Cause: estimates are rough; on the platform they differ from the truth by more than the tasks of a queue differ from each other. By them a job that was underestimated counted as worthless early, and was put behind all other work. Change: core/estimate.py keeps what a task of each queue takes on an average target; chains and objectives are counted with estimates that are moved three quarters of the way towards it. Ruled out: dropping the estimates; they still tell long jobs from short ones. Tests: estimate_test.py.

--- /dev/null
+++ b/mulberrywalk/core/estimate_test.py
@@ -0,0 +1,42 @@
+"""Estimates move towards what tasks of their queue have taken."""
+
+import pytest
+
+from . import cell_test, estimate, job, objective, snapshot
+
+TYPICAL_MS = 640
+
+
+@pytest.fixture
+def tables():
+    cell = cell_test.Cell(targets=1)
+    for _ in range(50):
+        estimate.learn(cell.tables, 'q', 't0', TYPICAL_MS)
+    return cell.tables
+
+
+def test_an_estimate_stands_while_nothing_is_known(tables):
+    assert estimate.typical_ms(tables, 'other') == 0
+    assert estimate.correct(250, 0) == 250
+
+
+def test_an_estimate_that_is_far_off_is_moved(tables):
+    typical = estimate.typical_ms(tables, 'q')
+    assert typical == TYPICAL_MS
+    assert TYPICAL_MS // 2 < estimate.correct(250, typical) < TYPICAL_MS
+    assert TYPICAL_MS < estimate.correct(1600, typical) < 2 * TYPICAL_MS
+
+
+def test_what_was_learned_survives_a_snapshot(tables):
+    restored = snapshot.decode(snapshot.encode(tables))
+    assert restored.durations == tables.durations
+
+
+def test_underestimated_work_keeps_its_worth_for_longer():
+    needs = cell_test.step(4, estimate_ms=100)
+    specification = cell_test.specify(
+        1, job.Kind.WORKFLOW, steps=(needs,), objective_ms=250
+    )
+    told = objective.objective_ms(specification)
+    corrected = objective.objective_ms(specification, TYPICAL_MS)
+    assert corrected > told + TYPICAL_MS // 2
--- a/mulberrywalk/core/snapshot.py
+++ b/mulberrywalk/core/snapshot.py
@@ -41,6 +41,7 @@
     reservation: state.Reservation | None
     refusals: list[RefusalItem]
     steps: list[job.Step] = []
+    durations: dict[str, int] = {}
 
 
 def encode(tables: state.State) -> bytes:
@@ -59,6 +60,7 @@
         reservation=tables.reservation,
         refusals=list(tables.refusals.items()),
         steps=_ordered(tables.steps),
+        durations=dict(sorted(tables.durations.items())),
     )
     return msgspec.msgpack.encode(image)
 
@@ -78,6 +80,7 @@
         patches=dict(image.patches),
         refusals=dict(image.refusals),
         steps={record.step: record for record in image.steps},
+        durations=image.durations,
         queues={one.name: one for one in image.configuration.routing.queues},
     )
     _index_targets(tables)
--- a/mulberrywalk/core/state.py
+++ b/mulberrywalk/core/state.py
@@ -68,7 +68,8 @@
 
     time is the latest event's, in milliseconds since 1970. budgets holds the
     retry tokens of each team in hundredths. requests finds the job of a team's
-    request id. finished orders ended jobs by the time of their end.
+    request id. durations holds what a task of each queue takes, in
+    microseconds. finished orders ended jobs by the time of their end.
     """
 
     time: int = 0
@@ -102,6 +103,7 @@
     refusals: dict[tuple[str, str], Refusal] = dataclasses.field(
         default_factory=dict
     )
+    durations: dict[str, int] = dataclasses.field(default_factory=dict)
 
     fleet: fleet.Fleet = dataclasses.field(default_factory=fleet.Fleet)
     waiting: waiting.Waiting = dataclasses.field(
--- a/mulberrywalk/core/workflow.py
+++ b/mulberrywalk/core/workflow.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from . import (
+    estimate,
     event,
     identity,
     job,
@@ -228,18 +229,18 @@
         record, released=occurrence + 1
     )
     due_at = max(_due_at(record, occurrence), record.submitted_at)
-    latest = due_at + objective.objective_ms(specification)
+    typical_ms = estimate.typical_ms(tables, specification.queue)
+    allowed_ms = objective.objective_ms(specification, typical_ms)
     for number, needs in enumerate(specification.steps):
+        chain_ms = objective.chain_ms(specification, number, typical_ms)
         step = job.Step(
             step=job.step_id(record.job, occurrence, number),
             job=record.job,
             occurrence=occurrence,
             number=number,
             sequence=record.sequence,
-            order=latest - objective.chain_ms(specification, number),
-            worthless_at=due_at
-            + _WORTHLESS_AFTER * objective.objective_ms(specification)
-            - objective.chain_ms(specification, number),
+            order=due_at + allowed_ms - chain_ms,
+            worthless_at=due_at + _WORTHLESS_AFTER * allowed_ms - chain_ms,
             blocked_by=len(set(needs.after)),
             unfinished=needs.count,
         )
@@ -290,6 +291,10 @@
     step = msgspec.structs.replace(step, unfinished=step.unfinished - 1)
     if needs.is_gang:
         step = msgspec.structs.replace(step, completed_run=attempt.number)
+    if attempt.started_at:
+        queue = tables.specification(task).queue
+        took_ms = tables.time - attempt.started_at
+        estimate.learn(tables, queue, attempt.target, took_ms)
     tables.steps[step.step] = step
     lifecycle.finish(tables, task, job.TaskState.COMPLETED)
     if step.unfinished == 0:
