Tell fillers their share until they answer; a module of their own

Cause, found by reading: a filler's order that got no answer counted as if the filler worked at the whole pace, so that the order to work at the whole pace was not given again; an entry that took a target over took its fillers to work at the whole pace, whatever the earlier one had told them. Both stood still for good. What was told ended fillers was kept for ever. Change: entry/filler.py knows what each was told, and nothing of those that an earlier entry started or that gave no answer; called.py is the smaller for it. Test: called_test.py, seen failing before the mend.

--- a/mulberrywalk/entry/called.py
+++ b/mulberrywalk/entry/called.py
@@ -13,7 +13,7 @@
 from ..core import event, identity, job
 from ..telemetry import clock, journal
 from ..transport import wire
-from . import calling, ending, pacing, session, upstream
+from . import calling, ending, filler, session, upstream
 
 _MS_PER_S = 1000
 # A start is sent only with so much of the lease left.
@@ -70,13 +70,11 @@
         self._group: TaskGroup | None = None
         self._confirmed: set[identity.AttemptId] = set()
         self._checkpoints: dict[identity.AttemptId, str] = {}
-        self._shares = {one.attempt: one for one in assigned.shares}
+        self._fillers = filler.Fillers(assigned.shares)
         # Orders that were answered as barred: reported unless a later look
         # shows the attempt.
         self._barred: dict[identity.AttemptId, str] = {}
         self._ledger = ending.Ledger()
-        self._pacer = pacing.Pacer()
-        self._paced: dict[identity.AttemptId, int] = {}
 
     async def run(self) -> None:
         """Look at the target until the session is over."""
@@ -90,9 +88,7 @@
             return
         self._term = commands.term
         for start in commands.start:
-            self._shares[start.attempt] = wire.Share(
-                start.attempt, start.latency_target_ms, start.is_filler
-            )
+            self._fillers.add(start)
             self._group.start_soon(self._start, start, commands.term)
         for stop in commands.stop:
             self._group.start_soon(self._stop, stop.attempt, commands.term)
@@ -129,10 +125,9 @@
     def _next_wait(self) -> int:
         if self._lease.granted_from is None:
             return 0
-        if not self._shares:
+        if self._fillers.is_idle():
             return _IDLE_LOOK_MS
-        is_shared = any(one.is_filler for one in self._shares.values())
-        return _PACED_LOOK_MS if is_shared else _LOOK_MS
+        return _PACED_LOOK_MS if self._fillers.is_shared() else _LOOK_MS
 
     async def _settle(self) -> None:
         """Wait until the ends that were seen are committed, or for long."""
@@ -181,7 +176,7 @@
             if self._ledger.list_end(one.attempt, one.number, now)
         ]
         for listed in seen.ended:
-            self._shares.pop(listed.attempt, None)
+            self._fillers.forget(listed.attempt)
         ended.extend(self._find_barred(seen, barred, now))
         saved = self._find_saved(seen)
         if started or ended or saved:
@@ -216,7 +211,7 @@
         for answered in barred:
             self._barred.pop(answered, None)
         for gone in absent:
-            self._shares.pop(gone, None)
+            self._fillers.forget(gone)
         return [
             event.AttemptEnd(
                 one, job.EndReason.NEVER_STARTED, now, detail=barred[one]
@@ -308,23 +303,8 @@
         await self._look(0)
 
     def _pace(self, seen: calling.Seen) -> None:
-        fillers = [
-            one.attempt
-            for one in seen.running
-            if (share := self._shares.get(one.attempt)) is not None
-            and share.is_filler
-        ]
-        readings = [
-            pacing.Reading(share.latency_target_ms, one.gauge)
-            for one in seen.running
-            if (share := self._shares.get(one.attempt)) is not None
-            and share.latency_target_ms
-        ]
-        percent = self._pacer.decide(readings, clock.monotonic_ms())
-        for attempt in fillers:
-            if self._paced.get(attempt, pacing.WHOLE) == percent:
-                continue
-            self._paced[attempt] = percent
+        told = self._fillers.decide(seen.running, clock.monotonic_ms())
+        for attempt, percent in told:
             if self._group is not None:
                 self._group.start_soon(self._pace_one, attempt, percent)
 
@@ -336,7 +316,7 @@
                 self._destination, attempt, percent, self._term
             )
         if answer is not calling.Answer.DONE:
-            self._paced.pop(attempt, None)
+            self._fillers.mistrust(attempt)
 
     def _note(self, what: str, attempt: str = '') -> None:
         self._journal.record(
--- a/mulberrywalk/entry/called_test.py
+++ b/mulberrywalk/entry/called_test.py
@@ -325,6 +325,23 @@
     assert target.paces == [(SECOND, 0)]
 
 
+def test_filler_of_an_earlier_entry_is_told_its_share_until_it_answers():
+    target = FakeTarget()
+    target.running = [calling.Running(FIRST, '', 0)]
+    answers = iter((calling.Answer.NONE, calling.Answer.DONE))
+
+    async def pace(destination, attempt, percent, term):
+        target.paces.append((attempt, percent))
+        return next(answers)
+
+    async def scenario(carried, leader):
+        await anyio.sleep(0.1)
+
+    target.pace = pace
+    play(target, scenario, shares=(wire.Share(FIRST, 0, is_filler=True),))
+    assert target.paces == [(FIRST, 100), (FIRST, 100)]
+
+
 def test_checkpoints_are_reported_when_they_change():
     target = FakeTarget()
     target.running = [calling.Running(FIRST, 'a', 0)]
