Stop a gang that does not come together before a member waits alone

The leader was overloaded and one start was late. Ruled out: longer leases or more tries of the start; the others wait anyway.

--- a/mulberrywalk/core/reducer.py
+++ b/mulberrywalk/core/reducer.py
@@ -14,6 +14,7 @@
     admission,
     advice,
     amendment,
+    assembly,
     dispatch,
     effect,
     event,
@@ -80,6 +81,7 @@
 def _pass_time(
     tables: state.State, occurred: event.TimePassed
 ) -> outcome.Outcome:
+    assembly.review(tables)
     dispatch.run(tables)
     return outcome.Recorded()
 
--- a/mulberrywalk/core/state.py
+++ b/mulberrywalk/core/state.py
@@ -132,6 +132,8 @@
         default_factory=dict
     )
     preempting: int = 0
+    # Members of gangs that have not started: when they were placed, and which.
+    assembling: SortedList = dataclasses.field(default_factory=SortedList)
     # The next occurrence of each job: when it is due, and the job.
     due: SortedList = dataclasses.field(default_factory=SortedList)
     # Live attempts of each step by target.
@@ -196,6 +198,8 @@
     )
     if attempt.stopping is job.StopReason.PREEMPTED:
         state.preempting += 1
+    if _is_assembling(state, task, attempt):
+        state.assembling.add((attempt.placed_at, attempt.attempt))
     _count_of_step(state, task, attempt, 1)
     _account(state, attempt, specification, attempt.held)
 
@@ -212,6 +216,7 @@
     )
     if attempt.stopping is job.StopReason.PREEMPTED:
         state.preempting -= 1
+    state.assembling.discard((attempt.placed_at, attempt.attempt))
     _count_of_step(state, task, attempt, -1)
     _account(
         state,
@@ -227,11 +232,20 @@
     if changed.held == present.held and changed.stopping is present.stopping:
         # Nothing is accounted differently: the indexes stay as they are.
         state.attempts[changed.attempt] = changed
+        if changed.started_at and state.assembling:
+            state.assembling.discard((changed.placed_at, changed.attempt))
         return
     remove_attempt(state, present)
     add_attempt(state, changed)
 
 
+def _is_assembling(state: State, task: job.Task, attempt: job.Attempt) -> bool:
+    step = state.steps.get(task.step_id())
+    if step is None or attempt.started_at or attempt.stopping is not None:
+        return False
+    return state.step_specification(step).is_gang
+
+
 def _count_of_step(
     state: State, task: job.Task, attempt: job.Attempt, change: int
 ) -> None:
--- a/mulberrywalk/replica/leader.py
+++ b/mulberrywalk/replica/leader.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from ..consensus import node, repair
-from ..core import effect, event, identity, target
+from ..core import assembly, effect, event, identity, target
 from ..telemetry import clock, journal, metric
 from ..transport import wire
 from . import (
@@ -188,7 +188,11 @@
 
     def _dispatch_when_due(self, now: int) -> None:
         waiting = self._engine.tables.waiting
-        is_due = bool(waiting.queues) or self._is_timer_due()
+        is_due = (
+            bool(waiting.queues)
+            or self._is_timer_due()
+            or assembly.is_due(self._engine.tables, self._engine.time())
+        )
         if is_due and now - self._dispatched_at >= _DISPATCH_MS:
             self._dispatched_at = now
             self._engine.request_dispatch()
