Do not take an idle target that gets work for a silent one

Change: that patience counts from when the target was first seen at work; an idle look waits 1 s (1.5 s before); 1.3 s (1.2 s before). Test: silence_test.py, seen failing before the mend.

--- a/mulberrywalk/entry/called.py
+++ b/mulberrywalk/entry/called.py
@@ -19,7 +19,7 @@
 # A start is sent only with so much of the lease left.
 _LEAST_LEASE_MS = 300
 _LOOK_MS = 500
-_IDLE_LOOK_MS = 1500
+_IDLE_LOOK_MS = 1000
 # How often an order without an answer is given before the leader is left to
 # give it again.
 _TRIES = 3
--- a/mulberrywalk/replica/silence.py
+++ b/mulberrywalk/replica/silence.py
@@ -9,11 +9,12 @@
 
 from __future__ import annotations
 
-from ..core import event, identity, target
+from ..core import event, identity
 from . import engine, lease, proposal
 
-# A target at work is looked at far more often than an idle one.
-BUSY_MS = 1200
+# A target at work is looked at more often than an idle one, whose last look
+# may wait for a second yet when work comes.
+BUSY_MS = 1300
 IDLE_MS = 2500
 # The clock of events may run fast by a tenth against the monotonic one.
 _SURE_PERCENT = 90
@@ -32,6 +33,7 @@
         self._leases = leases
         self._noted: dict[identity.SessionId, bool] = {}
         self._heard_at: dict[identity.SessionId, int] = {}
+        self._busy_from: dict[identity.SessionId, int] = {}
 
     def take_over(self, now: int) -> None:
         """Count the leases of silent targets from when they fell silent.
@@ -55,12 +57,16 @@
         self._heard_at = {
             name: self._heard_at.get(name, now) for name in sessions
         }
-        for session in list(sessions.values()):
-            quiet_ms = now - self._last_heard_at(session.session)
-            if quiet_ms > self._patience_ms(session) and not self._is_noted(
-                session.session
-            ):
-                self._note(session.session, quiet_ms)
+        busy = self._engine.tables.by_session
+        self._busy_from = {
+            name: self._busy_from.get(name, now)
+            for name in sessions
+            if busy.get(name)
+        }
+        for session in list(sessions):
+            quiet_ms = now - self._last_heard_at(session)
+            if self._is_overdue(session, quiet_ms, now):
+                self._note(session, quiet_ms)
         self._noted = {
             name: is_silent
             for name, is_silent in self._noted.items()
@@ -82,9 +88,13 @@
         renewed_at = self._leases.renewed_at(session)
         return max(renewed_at, self._heard_at.get(session, 0))
 
-    def _patience_ms(self, session: target.Session) -> int:
-        is_busy = self._engine.tables.by_session.get(session.session)
-        return BUSY_MS if is_busy else IDLE_MS
+    def _is_overdue(
+        self, session: identity.SessionId, quiet_ms: int, now: int
+    ) -> bool:
+        if self._is_noted(session):
+            return False
+        busy_ms = now - self._busy_from.get(session, now)
+        return quiet_ms > IDLE_MS or min(quiet_ms, busy_ms) > BUSY_MS
 
     def _is_silent(self, name: identity.SessionId) -> bool:
         tables = self._engine.tables
--- a/mulberrywalk/replica/silence_test.py
+++ b/mulberrywalk/replica/silence_test.py
@@ -63,10 +63,22 @@
     scene.leases.renew(engine.session, 'e0', 1000)
     engine.cell.submit(cell_test.specify(1))
     engine.cell.dispatch()
+    scene.silences.review(1000)
     scene.silences.review(1001 + silence.BUSY_MS)
     assert engine.proposed == [silence.BUSY_MS + 1]
 
 
+def test_a_target_that_was_idle_is_not_silent_once_it_has_work(engine):
+    scene = Scene(engine)
+    scene.leases.renew(engine.session, 'e0', 1000)
+    engine.cell.submit(cell_test.specify(1))
+    engine.cell.dispatch()
+    placed_at = 1000 + silence.BUSY_MS
+    for passed in (1, silence.IDLE_MS - silence.BUSY_MS):
+        scene.silences.review(placed_at + passed)
+    assert not engine.proposed
+
+
 def test_a_session_that_is_new_to_an_old_leader_is_not_silent(engine):
     silences = silence.Silences(engine, lease.Leases(0))
     silences.review(60_000)
