Let the test of the metrics wait for the job that it counts

Change: the test waits until the job is completed, as the others do, and then holds the same; it also sees now that the job was done. Ruled out: a lost counter; the same text showed the submission and no session.

--- a/tests/platform_test.py
+++ b/tests/platform_test.py
@@ -314,7 +314,10 @@
 
 
 def test_every_process_shows_its_metrics(site):
-    site.submit('00000000000000cc')
+    name = '00000000000000cc'
+    site.submit(name)
+    # A job may be accepted before any target is known.
+    site.wait(lambda: site.state(name) == 'completed', 'not done', DONE_S)
     shown = [
         httpx.get(f'http://{host}:9464/metrics', timeout=2).text
         for host in site.hosts
