Ask the adviser for lasting work before there is room

Cause: the adviser was asked only once a target had room. Its answer takes 0.6 s and more, and by then shorter work had taken the room. An answer that comes before there is room can be used at once.

Ruled out: asking for all work alike, which would keep the entries busy with answers that lapse unused; lasting work is few, and its absence is bounded.

Evidence: the new test failed before for lasting work (no question while both targets are full), and passes now.

--- a/mulberrywalk/core/advice.py
+++ b/mulberrywalk/core/advice.py
@@ -41,7 +41,8 @@
     suitable lists the targets that the step could run on, leaving aside
     advice and free capacity. Targets with room come first, and among them
     those that were allowed before, because they will be allowed again. If
-    these can hold all waiting tasks, no others are asked about.
+    these can hold all waiting tasks, no others are asked about. While no
+    target has room, only lasting work asks: room may be reserved for it.
     """
     record = tables.jobs[step.job]
     terms = record.specification.advice
@@ -126,7 +127,7 @@
     with_room = [
         load for load in candidates if resource.fits(demand, load.free)
     ]
-    if not with_room:
+    if not with_room and not needs.is_lasting:
         return ()
     slots = sum(
         _count_fitting_tasks(tables, step, load)
--- a/mulberrywalk/core/advice_test.py
+++ b/mulberrywalk/core/advice_test.py
@@ -1,5 +1,7 @@
 """Requests for advice list only targets on which a step could run."""
 
+import pytest
+
 from . import cell_test, job, workflow_test
 
 LIMITED = cell_test.step(3, is_lasting=True, per_target_limit=1)
@@ -55,3 +57,17 @@
     effects = cell.report(placed, job.EndReason.LEASE_LAPSED)
     requests = workflow_test.advice_requests([*effects, *cell.dispatch(5000)])
     assert set(cell_test.only(requests).targets) > {'t0'}
+
+
+@pytest.mark.parametrize('is_lasting', [True, False])
+def test_only_lasting_work_asks_while_no_target_has_room(is_lasting):
+    cell = workflow_test.advised_cell(2)
+    whole_target = cell_test.step(2, 4000)
+    cell.submit(workflow_test.workflow(whole_target, job='0' * 16))
+    assert len(workflow_test.started_attempts(cell.dispatch())) == 2
+    needs = cell_test.step(1, is_lasting=is_lasting)
+    cell.submit(workflow_test.workflow(needs, queue='q', request_id='other'))
+    requests = workflow_test.advice_requests(cell.dispatch())
+    asked = [request.targets for request in requests]
+    expected = [('t0', 't1')] if is_lasting else []
+    assert asked == expected
--- a/mulberrywalk/core/step_placement.py
+++ b/mulberrywalk/core/step_placement.py
@@ -55,7 +55,8 @@
     is_unadvised = bool(step.asked_at) and not step.tickets
     if is_unadvised and advice.is_request_pending(tables, step):
         return False
-    if next(tables.fleet.most_free(needs.demand()), None) is None:
+    has_room = next(tables.fleet.most_free(needs.demand()), None) is not None
+    if not has_room and not needs.is_lasting:
         return False
     numbers = list(tables.waiting.steps.get(name, ()))
     if needs.is_gang and len(numbers) < needs.count:
