Reserve room for lasting work that waits

Cause: nothing kept room for it. In each pass the room that ended work frees is given to what fits it, so work smaller than a lasting task takes it first, on the few targets that the adviser allows as on all others. The wait had no bound.

Why this works: a lasting task that has been absent for a second is placed before all other work; else the room that it needs on one allowed target is withheld from the pass. Work that is no more urgent is stopped there if that makes room sooner, so that the wait is bounded by the stop; beside more urgent work, by the longest task on that target. At most an eighth of the fleet is withheld, one task at the least.

Ruled out: whole targets set aside, as for gangs, which would idle up to 32 cores for one task; a record of the reservation in the log, since it can be derived anew in each pass.

--- a/mulberrywalk/core/dispatch.py
+++ b/mulberrywalk/core/dispatch.py
@@ -21,6 +21,7 @@
     share,
     state,
     step_placement,
+    step_reservation,
     waiting,
     workflow,
 )
@@ -39,7 +40,9 @@
     if tables.waiting.steps:
         _demote_worthless_steps(tables)
     if tables.waiting.queues:
+        reserved = step_reservation.reserve(tables)
         _serve_queues(tables)
+        step_reservation.release(tables, reserved)
 
 
 def _demote_worthless_steps(tables: state.State) -> None:
--- /dev/null
+++ b/mulberrywalk/core/reclaim.py
@@ -0,0 +1,105 @@
+"""What has to end on a target so that a lasting task fits there.
+
+Attempts that are being stopped count as ended. Where that isn't enough, work
+that is no more urgent than the task may be stopped; else all work that does
+not last has to end by itself.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import functools
+
+from . import fleet, job, resource, state
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Option:
+    """A target on which a task will fit once its victims have ended.
+
+    With needs_wait there are no victims: running work ends by itself.
+    """
+
+    load: fleet.TargetLoad
+    victims: tuple[job.Attempt, ...]
+    needs_wait: bool = False
+
+
+def find_option(
+    tables: state.State, task: job.Task, load: fleet.TargetLoad
+) -> Option | None:
+    """Return how a task will fit on a target, or None if it will not."""
+    demand = tables.demand(task)
+    attempts = [tables.attempts[name] for name in sorted(load.attempts)]
+    ending = [one for one in attempts if one.stopping is not None]
+    room = _add_held(load.free, ending)
+    victims: list[job.Attempt] = []
+    for victim in _find_victims(tables, task, attempts):
+        if resource.fits(demand, room):
+            break
+        victims.append(victim)
+        room = _add_held(room, [victim])
+    if resource.fits(demand, room):
+        return Option(load, tuple(victims))
+    passing = [
+        one
+        for one in attempts
+        if one.stopping is None and not _is_lasting(tables, one)
+    ]
+    if resource.fits(demand, _add_held(load.free, ending + passing)):
+        return Option(load, (), needs_wait=True)
+    return None
+
+
+def _add_held(
+    room: resource.Resources, attempts: list[job.Attempt]
+) -> resource.Resources:
+    return functools.reduce(
+        resource.add, (attempt.held for attempt in attempts), room
+    )
+
+
+def _is_lasting(tables: state.State, attempt: job.Attempt) -> bool:
+    return state.is_lasting(tables, tables.tasks[attempt.task])
+
+
+def _find_victims(
+    tables: state.State, task: job.Task, attempts: list[job.Attempt]
+) -> list[job.Attempt]:
+    """Return the attempts that may be stopped for a task, cheapest first."""
+    rank = job.rank(tables.specification(task).urgency)
+    found = [
+        attempt
+        for attempt in attempts
+        if attempt.stopping is None and _may_stop(tables, attempt, rank)
+    ]
+    return sorted(found, key=lambda attempt: _stop_cost(tables, attempt))
+
+
+def _may_stop(tables: state.State, attempt: job.Attempt, rank: int) -> bool:
+    """Return whether an attempt may be stopped for work of a rank.
+
+    Members of gangs are left alone, as stopping one stops all of them.
+    """
+    running = tables.tasks[attempt.task]
+    specification = tables.specification(running)
+    needs = tables.task_specification(running)
+    if isinstance(needs, job.StepSpecification):
+        is_resumable = not (needs.is_gang or needs.is_lasting)
+    else:
+        is_resumable = specification.kind is job.Kind.BATCH
+    is_less_urgent = job.rank(specification.urgency) >= rank
+    return is_resumable and is_less_urgent and specification.is_idempotent
+
+
+def _stop_cost(
+    tables: state.State, attempt: job.Attempt
+) -> tuple[int, bool, int, str]:
+    """Return a sort key: the least urgent first, then the least work lost."""
+    running = tables.tasks[attempt.task]
+    rank = job.rank(tables.specification(running).urgency)
+    needs = tables.task_specification(running)
+    is_saved = getattr(needs, 'is_checkpointing', False)
+    elapsed_ms = tables.time - (attempt.started_at or tables.time)
+    lost = elapsed_ms * attempt.held.millicores
+    return -rank, not is_saved, lost, attempt.attempt
--- a/mulberrywalk/core/step_placement.py
+++ b/mulberrywalk/core/step_placement.py
@@ -8,6 +8,7 @@
 
 import dataclasses
 import itertools
+from collections.abc import Iterator
 
 import msgspec
 
@@ -77,15 +78,14 @@
 def find_eligible_targets(
     tables: state.State, name: identity.StepId
 ) -> list[fleet.TargetLoad]:
-    """Return the targets that a step could run on, regardless of advice.
+    """Return the targets a step could run on once they have room.
 
-    For a job with an adviser, free capacity is disregarded as well.
+    Advice is disregarded as well.
     """
     step = tables.steps[name]
-    needs = tables.step_specification(step)
     return [
         load
-        for load in _find_suitable(tables, step, needs)
+        for load in _iter_usable(tables, step)
         if _is_below_limit(tables, step, load)
     ]
 
@@ -107,21 +107,33 @@
 def _find_suitable(
     tables: state.State, step: job.Step, needs: job.StepSpecification
 ) -> list[fleet.TargetLoad]:
-    """Return the open targets that a step may run on, regardless of advice."""
+    """Return the open targets that a step may run on, regardless of advice.
+
+    For a job without an adviser, only targets with room are listed.
+    """
+    loads = _iter_usable(tables, step)
+    if tables.jobs[step.job].specification.advice is not None:
+        return list(loads)
+    demand = needs.demand()
+    fitting = (load for load in loads if resource.fits(demand, load.free))
+    return list(itertools.islice(fitting, _MAX_CANDIDATES))
+
+
+def _iter_usable(
+    tables: state.State, step: job.Step
+) -> Iterator[fleet.TargetLoad]:
+    """Yield the open targets that hold a task of a step when empty."""
     specification = tables.jobs[step.job].specification
+    needs = tables.step_specification(step)
     demand = needs.demand()
     # Sorted by name, because a restored replica may have another order.
-    loads = (
+    return (
         load
         for _, load in sorted(tables.fleet.loads.items())
         if load.is_available()
         and load.matches(specification.pool, needs.label)
         and resource.fits(demand, load.capacity)
     )
-    if specification.advice is not None:
-        return list(loads)
-    fitting = (load for load in loads if resource.fits(demand, load.free))
-    return list(itertools.islice(fitting, _MAX_CANDIDATES))
 
 
 def _place_each(
@@ -193,7 +205,7 @@
     chosen: list[fleet.TargetLoad] = []
     least_free_first = sorted(candidates, key=_free_order)
     steady_first = sorted(
-        least_free_first, key=lambda load: _is_unsteady(tables, load)
+        least_free_first, key=lambda load: is_unsteady(tables, load)
     )
     for load in steady_first:
         task_count = resource.count_fitting(
@@ -236,7 +248,7 @@
     def rank(load: fleet.TargetLoad) -> tuple[int, ...]:
         return (
             int(load.target in avoided),
-            int(_is_unsteady(tables, load)),
+            int(is_unsteady(tables, load)),
             int(bool(needs.data_rack) and load.rack != needs.data_rack),
             int(needs.is_rack_local and bool(racks) and load.rack not in racks),
             *_load_rank(tables, placement, load),
@@ -298,7 +310,8 @@
     }
 
 
-def _is_unsteady(tables: state.State, load: fleet.TargetLoad) -> bool:
+def is_unsteady(tables: state.State, load: fleet.TargetLoad) -> bool:
+    """Return whether a target was silent or started nothing a while ago."""
     return tables.targets[load.target].unsteady_until > tables.time
 
 
--- /dev/null
+++ b/mulberrywalk/core/step_reservation_test.py
@@ -0,0 +1,164 @@
+"""Lasting tasks come back while shorter work keeps every target full."""
+
+import itertools
+
+import pytest
+
+from . import cell_test, event, job, step_reservation, workflow_test
+
+LASTING = 'f' * 16
+TARGETS = 6
+ALLOWED = frozenset(('t2', 't3'))
+# Capacity of a target of the cell.
+MILLICORES, SLOTS = 4000, 3
+# Unlike each other, so that a target is never without short work.
+SHORT_RUNS_MS = (700, 1900, 1100, 2300, 900, 1700, 1300)
+PASS_MS = 100
+# A lasting task counts as lost 6 s after its last run and 3 s of room more.
+LOST_AFTER_MS = 9000
+
+
+class BusyCell(cell_test.Cell):
+    """A cell whose targets get a new short task for each one that ends."""
+
+    def __init__(self, short_urgency):
+        super().__init__(targets=TARGETS)
+        self.short_urgency = short_urgency
+        self.ends_at = {}
+        self.names = iter(f'{number:016x}' for number in range(10_000))
+        self.requests = []
+        self.runs_ms = itertools.cycle(SHORT_RUNS_MS)
+
+    def pass_time(self, duration_ms):
+        """Play the load; the adviser answers in the pass after a question."""
+        for _ in range(duration_ms // PASS_MS):
+            self.end_due()
+            self.submit_short()
+            for request in self.requests:
+                self.answer(request)
+            effects = self.dispatch(PASS_MS)
+            self.requests = workflow_test.advice_requests(effects)
+            for attempt in workflow_test.started_attempts(effects):
+                self.start(attempt)
+                self.ends_at[attempt.attempt] = self.now + next(self.runs_ms)
+            for attempt in workflow_test.stopped_attempts(effects):
+                self.ends_at[attempt.attempt] = self.now
+
+    def end_due(self):
+        for name, ends_at in list(self.ends_at.items()):
+            attempt = self.tables.attempts[name]
+            is_lasting = attempt.task.startswith(LASTING)
+            if ends_at <= self.now and not is_lasting:
+                self.ends_at.pop(name)
+                reason = job.EndReason.COMPLETED
+                if attempt.stopping is not None:
+                    reason = job.EndReason.STOPPED
+                self.report(attempt, reason)
+
+    def submit_short(self):
+        waiting = sum(map(len, self.tables.waiting.steps.values()))
+        for _ in range(TARGETS * SLOTS - waiting):
+            name = next(self.names)
+            self.submit(
+                workflow_test.workflow(
+                    cell_test.step(1),
+                    job=name,
+                    request_id=name,
+                    urgency=self.short_urgency,
+                )
+            )
+
+    def answer(self, request):
+        allowed = sorted(ALLOWED & set(request.targets))
+        workflow_test.answer_advice(self, request, *allowed)
+
+    def submit_lasting(self, count=1, advice=workflow_test.TERMS):
+        self.submit(
+            workflow_test.workflow(
+                cell_test.step(count, 3500, is_lasting=True),
+                job=LASTING,
+                request_id=LASTING,
+                urgency=job.Urgency.HIGH,
+                advice=advice,
+            )
+        )
+
+    def lasting(self, number=0):
+        return self.tables.tasks[f'{LASTING}.0.0.{number}']
+
+    def lose_target(self, name):
+        """End the session of a target, and with it all that runs there."""
+        self.apply(event.SessionExpired, self.tables.targets[name].session)
+        self.ends_at = {
+            attempt: ends_at
+            for attempt, ends_at in self.ends_at.items()
+            if attempt in self.tables.attempts
+        }
+
+
+def lose_lasting_task(short_urgency):
+    """Return a busy cell that has just lost the target of a lasting task."""
+    cell = BusyCell(short_urgency)
+    cell.submit_lasting()
+    cell.pass_time(3000)
+    assert cell.lasting().state is job.TaskState.RUNNING
+    cell.lose_target(cell.tables.attempts[cell.lasting().attempt].target)
+    assert cell.lasting().state is job.TaskState.WAITING
+    return cell
+
+
+@pytest.mark.parametrize(
+    'short_urgency', [job.Urgency.CRITICAL, job.Urgency.HIGH, job.Urgency.LOW]
+)
+def test_lasting_task_returns_to_a_target_full_of_short_work(short_urgency):
+    cell = lose_lasting_task(short_urgency)
+    cell.pass_time(LOST_AFTER_MS)
+    assert cell.lasting().state is job.TaskState.RUNNING
+
+
+def test_less_urgent_work_that_runs_long_is_stopped_for_a_lasting_task():
+    cell = lose_lasting_task(job.Urgency.LOW)
+    cell.ends_at = dict.fromkeys(cell.ends_at, cell.now + 60_000)
+    cell.pass_time(LOST_AFTER_MS)
+    assert cell.lasting().state is job.TaskState.RUNNING
+
+
+def test_more_urgent_work_is_not_stopped_for_a_lasting_task():
+    cell = lose_lasting_task(job.Urgency.CRITICAL)
+    cell.ends_at = dict.fromkeys(cell.ends_at, cell.now + 60_000)
+    cell.pass_time(LOST_AFTER_MS)
+    assert cell.lasting().state is job.TaskState.WAITING
+    assert not any(one.stopping for one in cell.tables.attempts.values())
+
+
+def test_reserved_room_is_released_after_the_pass():
+    cell = lose_lasting_task(job.Urgency.CRITICAL)
+    cell.pass_time(step_reservation.RESERVE_AFTER_MS + 2 * PASS_MS)
+    for load in cell.tables.fleet.loads.values():
+        attempts = [cell.tables.attempts[name] for name in load.attempts]
+        used = sum(attempt.held.millicores for attempt in attempts)
+        assert load.free.millicores == MILLICORES - used
+
+
+def test_targets_on_which_lasting_work_may_not_run_keep_their_work():
+    cell = BusyCell(job.Urgency.LOW)
+    cell.submit_lasting(count=TARGETS)
+    cell.pass_time(LOST_AFTER_MS)
+    used = [
+        one
+        for one in cell.tables.attempts.values()
+        if one.target not in ALLOWED
+    ]
+    assert len(used) == (TARGETS - len(ALLOWED)) * SLOTS
+
+
+def test_much_waiting_lasting_work_reserves_a_limited_share():
+    cell = BusyCell(job.Urgency.CRITICAL)
+    cell.pass_time(500)
+    cell.submit_lasting(count=TARGETS, advice=None)
+    cell.pass_time(PASS_MS)
+    cell.now += step_reservation.RESERVE_AFTER_MS
+    cell.tables.time = cell.now
+    reserved = step_reservation.reserve(cell.tables)
+    step_reservation.release(cell.tables, reserved)
+    assert len(reserved) == 1
