Have room ready when the lease of a silent target expires

Cause: advice was prepared while the lease of a silent target ran out, room was not: it was looked for only after the proof, and less urgent work was stopped only then.

Ruled out: a shorter lease, which has to outlast the loss of all replicas.

Change: tasks on silent targets whose lease expires within a second get room reserved as overdue ones do.

Evidence: the new test failed before (the lasting task still waits in the first pass after the expiry) and passes now.

--- a/mulberrywalk/core/dispatch.py
+++ b/mulberrywalk/core/dispatch.py
@@ -39,10 +39,10 @@
     gang.review_reservation(tables)
     if tables.waiting.steps:
         _demote_worthless_steps(tables)
+    reserved = step_reservation.reserve(tables)
     if tables.waiting.queues:
-        reserved = step_reservation.reserve(tables)
         _serve_queues(tables)
-        step_reservation.release(tables, reserved)
+    step_reservation.release(tables, reserved)
 
 
 def _demote_worthless_steps(tables: state.State) -> None:
--- a/mulberrywalk/core/step_reservation.py
+++ b/mulberrywalk/core/step_reservation.py
@@ -4,15 +4,17 @@
 shorter work. What ends there is replaced within the same pass, so a lasting
 task that has to come back would wait for as long as the load goes on.
 
-Overdue tasks are placed before all other work. For those that fit nowhere,
-room is withheld from the other work of the pass and, where that makes room
-sooner, attempts that are no more urgent are stopped. Reservations are derived
-anew in each pass and never stored.
+Overdue tasks are placed before all other work. For those that fit nowhere, and
+for tasks on silent targets whose lease is about to expire, room is withheld
+from the other work of the pass and, where that makes room sooner, attempts that
+are no more urgent are stopped. Reservations are derived anew in each pass and
+never stored.
 """
 
 from __future__ import annotations
 
 import dataclasses
+import itertools
 from collections.abc import Iterator
 
 from . import (
@@ -25,6 +27,7 @@
     reclaim,
     resource,
     share,
+    silent_work,
     state,
     step_placement,
 )
@@ -32,6 +35,8 @@
 # Users count lasting work as lost once it has been absent for some seconds,
 # so this leaves time to stop other work and to ask the adviser.
 RESERVE_AFTER_MS = 1000
+# Time to stop other work before the lease of a silent target has expired.
+PREPARE_MS = 1000
 # Limits on one pass, so that other work goes on when much lasting work waits.
 _MAX_STEPS = 16
 _MAX_RESERVED_SHARE = resource.PARTS_PER_MILLION // 8
@@ -53,11 +58,12 @@
     The caller releases the reservations at the end of the pass.
     """
     reserved: list[Reservation] = []
-    for name in _find_overdue_steps(tables):
-        step_placement.place(tables, name)
+    due = _find_due(tables)
+    for name in _order_steps(due):
         if name in tables.waiting.steps:
+            step_placement.place(tables, name)
             tables.waiting.exhausted_steps.add(name)
-            _reserve_for_step(tables, name, reserved)
+        _reserve_for_step(tables, name, due, reserved)
     return reserved
 
 
@@ -68,35 +74,58 @@
         tables.fleet.update(one.load, free=free)
 
 
-def _find_overdue_steps(tables: state.State) -> list[identity.StepId]:
-    """Return the steps with overdue tasks, the longest absent first."""
-    waits: dict[identity.StepId, int] = {}
-    for name in tables.absent:
-        task = tables.tasks[name]
-        if _is_overdue(tables, task):
-            since = absence.absent_since(tables, task)
-            step = task.step_id()
-            waits[step] = min(since, waits.get(step, since))
-    ordered = sorted(waits, key=lambda step: (waits[step], step))
-    return ordered[:_MAX_STEPS]
+def _find_due(tables: state.State) -> dict[identity.TaskId, int]:
+    """Return the tasks to reserve room for, and the time that orders them.
 
-
-def _is_overdue(tables: state.State, task: job.Task) -> bool:
+    Tasks that wait and are overdue are ordered by when they last ran. They come
+    before tasks on silent targets whose lease expires within PREPARE_MS.
+    """
+    waiting = (tables.tasks[name] for name in tables.absent)
+    due = {
+        task.task: absence.absent_since(tables, task)
+        for task in waiting
+        if _is_waiting(tables, task)
+    }
+    overdue = {
+        name: since
+        for name, since in due.items()
+        if tables.time - since >= RESERVE_AFTER_MS
+    }
+    returning = {
+        attempt.task: expires_at
+        for expires_at, attempt in silent_work.find_attempts(tables)
+        if expires_at - tables.time <= PREPARE_MS
+    }
+    return {**returning, **overdue}
+
+
+def _is_waiting(tables: state.State, task: job.Task) -> bool:
     if task.attempt is not None or task.not_before > tables.time:
         return False
-    if share.is_over_quota(tables, tables.specification(task).team):
-        return False
-    absent_ms = tables.time - absence.absent_since(tables, task)
-    return absent_ms >= RESERVE_AFTER_MS
+    return not share.is_over_quota(tables, tables.specification(task).team)
+
+
+def _order_steps(due: dict[identity.TaskId, int]) -> list[identity.StepId]:
+    """Return the steps of tasks in the order of their times."""
+    tasks = sorted(due, key=lambda name: (due[name], name))
+    steps = dict.fromkeys(_step_of(name) for name in tasks)
+    return list(itertools.islice(steps, _MAX_STEPS))
+
+
+def _step_of(name: identity.TaskId) -> identity.StepId:
+    return identity.StepId(name.rpartition('.')[0])
 
 
 def _reserve_for_step(
-    tables: state.State, name: identity.StepId, reserved: list[Reservation]
+    tables: state.State,
+    name: identity.StepId,
+    due: dict[identity.TaskId, int],
+    reserved: list[Reservation],
 ) -> None:
-    """Reserve room for the overdue tasks of a step, within the share."""
-    for number in tables.waiting.steps[name]:
-        task = tables.tasks[identity.TaskId(f'{name}.{number}')]
-        if not _is_overdue(tables, task):
+    """Reserve room for the tasks of a step that are still due."""
+    for due_name in sorted(due):
+        task = tables.tasks[due_name]
+        if task.step_id() != name or _is_placed(tables, task):
             continue
         if not _is_within_share(tables, task, reserved):
             return
@@ -107,6 +136,13 @@
         reserved.append(_withhold(tables, task, option.load))
 
 
+def _is_placed(tables: state.State, task: job.Task) -> bool:
+    """Return whether a task is on a target that isn't silent."""
+    if task.attempt is None:
+        return False
+    return tables.attempts[task.attempt].target not in tables.silent
+
+
 def _is_within_share(
     tables: state.State, task: job.Task, reserved: list[Reservation]
 ) -> bool:
@@ -174,14 +210,14 @@
         lifecycle.stop(tables, victim, job.StopReason.PREEMPTED)
     if not option.victims:
         return
-    absent_ms = tables.time - absence.absent_since(tables, task)
-    durations = {'absent_ms': absent_ms, 'stopped': len(option.victims)}
+    reason = 'silent target' if task.attempt else 'overdue'
+    counts = effect.format_detail({'stopped': len(option.victims)})
     tables.emit(
         effect.Trace(
             'room reserved',
             job=task.job,
             task=task.task,
             target=option.load.target,
-            detail=effect.format_detail(durations),
+            detail=f'{reason}: {counts}',
         )
     )
--- a/mulberrywalk/core/step_reservation_test.py
+++ b/mulberrywalk/core/step_reservation_test.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from . import cell_test, event, job, step_reservation, workflow_test
+from . import cell_test, event, job, step_reservation, target, workflow_test
 
 LASTING = 'f' * 16
 TARGETS = 6
@@ -14,6 +14,7 @@
 # Unlike each other, so that a target is never without short work.
 SHORT_RUNS_MS = (700, 1900, 1100, 2300, 900, 1700, 1300)
 PASS_MS = 100
+LEASE_MS = 5500
 # A lasting task counts as lost 6 s after its last run and 3 s of room more.
 LOST_AFTER_MS = 9000
 
@@ -22,7 +23,12 @@
     """A cell whose targets get a new short task for each one that ends."""
 
     def __init__(self, short_urgency):
-        super().__init__(targets=TARGETS)
+        super().__init__()
+        for number in range(TARGETS):
+            announced = cell_test.announce(
+                number, f'n{number}', lease_ms=LEASE_MS
+            )
+            self.apply(event.SessionOpened, announced)
         self.short_urgency = short_urgency
         self.ends_at = {}
         self.names = iter(f'{number:016x}' for number in range(10_000))
@@ -162,3 +168,18 @@
     reserved = step_reservation.reserve(cell.tables)
     step_reservation.release(cell.tables, reserved)
     assert len(reserved) == 1
+
+
+def test_room_is_ready_when_the_lease_of_a_silent_target_expires():
+    cell = BusyCell(job.Urgency.LOW)
+    cell.submit_lasting()
+    cell.pass_time(3000)
+    cell.ends_at = dict.fromkeys(cell.ends_at, cell.now + 60_000)
+    lost = cell.tables.attempts[cell.lasting().attempt]
+    silent_ms = 1400
+    cell.apply(event.SilenceNoted, lost.session, silent_ms)
+    cell.pass_time(LEASE_MS + target.LEASE_MARGIN_MS - silent_ms)
+    assert cell.lasting().attempt == lost.attempt
+    cell.lose_target(lost.target)
+    cell.pass_time(PASS_MS)
+    assert cell.lasting().state is job.TaskState.RUNNING
