Place overdue lasting work on targets in quarantine too

Cause: a target on which three tasks failed is set aside for 5 s, then 10, 20 and so on up to ten minutes, whatever the reason, and long after it is well again. Where the adviser allows a step on four targets of 24, one trouble can set all of them aside; nothing bounds the wait of a lasting task then, and users count the targets as room.

Evidence: the new test failed before: both allowed targets in quarantine, all others open, the lasting task does not run within 3 s.

Change: once a lasting task is overdue, targets in quarantine, and those where a trial runs, count as the last choice. One that is still ill fails the task at once, and the next attempt is delayed as always. All other work goes on waiting for the trial (tested).

Ruled out: shorter quarantines for all work, which would send batch to targets that fail everything; a trial by the lasting task, which never completes.

--- a/mulberrywalk/core/health.py
+++ b/mulberrywalk/core/health.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from . import effect, identity, state, target
+from . import effect, fleet, identity, state, target
 
 _MAX_DOUBLINGS = 16
 
@@ -63,6 +63,21 @@
             refresh_index(tables, name)
 
 
+def is_set_aside(tables: state.State, load: fleet.TargetLoad) -> bool:
+    """Return whether only its failures keep a target from taking more work.
+
+    It is in quarantine, or a trial attempt is running there.
+    """
+    record = tables.targets[load.target]
+    is_reachable = record.session is not None and record.silence is None
+    return (
+        is_reachable
+        and not record.is_leaving
+        and load.reserved_for is None
+        and not load.is_available()
+    )
+
+
 def refresh_index(tables: state.State, name: identity.TargetId) -> None:
     """Update the fleet index from a target's record."""
     record = tables.targets[name]
--- a/mulberrywalk/core/step_placement.py
+++ b/mulberrywalk/core/step_placement.py
@@ -8,13 +8,13 @@
 
 import dataclasses
 import itertools
-from collections.abc import Iterator
 
 import msgspec
 
 from . import (
     advice,
     fleet,
+    health,
     identity,
     job,
     lifecycle,
@@ -37,19 +37,26 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StepPlacement:
-    """A step that is being placed; tickets is empty without an adviser."""
+    """A step that is being placed; tickets is empty without an adviser.
+
+    The tasks of an overdue step may go to targets set aside.
+    """
 
     step: job.Step
     needs: job.StepSpecification
     demand: resource.Resources
     candidates: list[fleet.TargetLoad]
     tickets: dict[identity.TargetId, str]
+    is_overdue: bool = False
 
 
-def place(tables: state.State, name: identity.StepId) -> bool:
+def place(
+    tables: state.State, name: identity.StepId, *, is_overdue: bool = False
+) -> bool:
     """Place the tasks of a step that fit; return whether any was placed.
 
     If tasks remain, advice is requested for the targets that are eligible.
+    Tasks that are overdue are placed on targets set aside if need be.
     """
     step = tables.steps[name]
     needs = tables.step_specification(step)
@@ -62,8 +69,7 @@
     numbers = list(tables.waiting.steps.get(name, ()))
     if needs.is_gang and len(numbers) < needs.count:
         return False
-    suitable = _find_suitable(tables, step, needs)
-    placement = _prepare(tables, step, needs, suitable)
+    placement = _prepare(tables, step, is_overdue=is_overdue)
     if needs.is_gang:
         count = _place_gang(tables, placement, numbers)
     else:
@@ -80,60 +86,77 @@
 ) -> list[fleet.TargetLoad]:
     """Return the targets a step could run on once they have room.
 
-    Advice is disregarded as well.
+    Advice is disregarded as well. Targets set aside are listed for lasting
+    work, which may have to use them.
     """
     step = tables.steps[name]
+    is_lasting = tables.step_specification(step).is_lasting
     return [
         load
-        for load in _iter_usable(tables, step)
+        for load in _find_usable(tables, step, is_overdue=is_lasting)
         if _is_below_limit(tables, step, load)
     ]
 
 
 def _prepare(
-    tables: state.State,
-    step: job.Step,
-    needs: job.StepSpecification,
-    suitable: list[fleet.TargetLoad],
+    tables: state.State, step: job.Step, *, is_overdue: bool
 ) -> StepPlacement:
+    needs = tables.step_specification(step)
     tickets: dict[identity.TargetId, str] = {}
-    candidates = suitable
+    candidates = _find_suitable(tables, step, is_overdue=is_overdue)
     if tables.jobs[step.job].specification.advice is not None:
         tickets = advice.find_valid_tickets(tables, step)
-        candidates = [load for load in suitable if load.target in tickets]
-    return StepPlacement(step, needs, needs.demand(), candidates, tickets)
+        candidates = [load for load in candidates if load.target in tickets]
+    return StepPlacement(
+        step, needs, needs.demand(), candidates, tickets, is_overdue
+    )
 
 
 def _find_suitable(
-    tables: state.State, step: job.Step, needs: job.StepSpecification
+    tables: state.State, step: job.Step, *, is_overdue: bool
 ) -> list[fleet.TargetLoad]:
-    """Return the open targets that a step may run on, regardless of advice.
+    """Return the targets that a step may run on, regardless of advice.
 
     For a job without an adviser, only targets with room are listed.
     """
-    loads = _iter_usable(tables, step)
+    loads = _find_usable(tables, step, is_overdue=is_overdue)
     if tables.jobs[step.job].specification.advice is not None:
-        return list(loads)
-    demand = needs.demand()
+        return loads
+    demand = tables.step_specification(step).demand()
     fitting = (load for load in loads if resource.fits(demand, load.free))
     return list(itertools.islice(fitting, _MAX_CANDIDATES))
 
 
-def _iter_usable(
+def _find_usable(
+    tables: state.State, step: job.Step, *, is_overdue: bool
+) -> list[fleet.TargetLoad]:
+    """Return the targets that hold a task of a step when empty.
+
+    Targets set aside follow if the step is overdue.
+    """
+    holding = _find_holding(tables, step)
+    usable = [load for load in holding if load.is_available()]
+    if is_overdue:
+        usable.extend(
+            load for load in holding if health.is_set_aside(tables, load)
+        )
+    return usable
+
+
+def _find_holding(
     tables: state.State, step: job.Step
-) -> Iterator[fleet.TargetLoad]:
-    """Yield the open targets that hold a task of a step when empty."""
+) -> list[fleet.TargetLoad]:
+    """Return the targets of a step's kind that hold a task when empty."""
     specification = tables.jobs[step.job].specification
     needs = tables.step_specification(step)
     demand = needs.demand()
     # Sorted by name, because a restored replica may have another order.
-    return (
+    return [
         load
         for _, load in sorted(tables.fleet.loads.items())
-        if load.is_available()
-        and load.matches(specification.pool, needs.label)
+        if load.matches(specification.pool, needs.label)
         and resource.fits(demand, load.capacity)
-    )
+    ]
 
 
 def _place_each(
@@ -235,7 +258,7 @@
         load
         for load in placement.candidates
         if resource.fits(placement.demand, load.free)
-        and load.is_available()
+        and _is_usable(tables, placement, load)
         and _is_below_limit(tables, placement.step, load)
     ]
     if not fitting:
@@ -246,8 +269,12 @@
     needs = placement.needs
 
     def rank(load: fleet.TargetLoad) -> tuple[int, ...]:
+        # A target set aside, or on which the task failed, is a last resort.
+        last_resort = 2 * int(not load.is_available()) + int(
+            load.target in avoided
+        )
         return (
-            int(load.target in avoided),
+            last_resort,
             int(is_unsteady(tables, load)),
             int(bool(needs.data_rack) and load.rack != needs.data_rack),
             int(needs.is_rack_local and bool(racks) and load.rack not in racks),
@@ -301,6 +328,14 @@
     )
 
 
+def _is_usable(
+    tables: state.State, placement: StepPlacement, load: fleet.TargetLoad
+) -> bool:
+    return load.is_available() or (
+        placement.is_overdue and health.is_set_aside(tables, load)
+    )
+
+
 def _find_avoided(task: job.Task) -> set[identity.TargetId]:
     """Return the targets on which the task has failed or was lost."""
     return {
--- a/mulberrywalk/core/step_reservation.py
+++ b/mulberrywalk/core/step_reservation.py
@@ -61,7 +61,7 @@
     due = _find_due(tables)
     for name in _order_steps(due):
         if name in tables.waiting.steps:
-            step_placement.place(tables, name)
+            step_placement.place(tables, name, is_overdue=True)
             tables.waiting.exhausted_steps.add(name)
         _reserve_for_step(tables, name, due, reserved)
     return reserved
@@ -178,18 +178,24 @@
     taken = {one.load.target for one in reserved if one.step == step.step}
     for load in step_placement.find_eligible_targets(tables, step.step):
         is_allowed = not is_advised or load.target in allowed
-        is_taken = load.is_on_probation or load.target in taken
-        if is_allowed and not is_taken:
+        if is_allowed and load.target not in taken:
             yield load
 
 
 def _rank(
     tables: state.State, option: reclaim.Option
-) -> tuple[bool, bool, int, str]:
+) -> tuple[bool, bool, bool, int, str]:
     """Return the sort key of an option, the soonest and cheapest first."""
     stopped = sum(victim.held.millicores for victim in option.victims)
     is_unsteady = step_placement.is_unsteady(tables, option.load)
-    return option.needs_wait, is_unsteady, stopped, option.load.target
+    is_set_aside = not option.load.is_available()
+    return (
+        option.needs_wait,
+        is_set_aside,
+        is_unsteady,
+        stopped,
+        option.load.target,
+    )
 
 
 def _withhold(
--- a/mulberrywalk/core/step_reservation_test.py
+++ b/mulberrywalk/core/step_reservation_test.py
@@ -92,6 +92,10 @@
     def lasting(self, number=0):
         return self.tables.tasks[f'{LASTING}.0.0.{number}']
 
+    def is_quarantined(self, name):
+        record = self.tables.targets[name]
+        return record.health.until > self.now
+
     def lose_target(self, name):
         """End the session of a target, and with it all that runs there."""
         self.apply(event.SessionExpired, self.tables.targets[name].session)
@@ -183,3 +187,33 @@
     cell.lose_target(lost.target)
     cell.pass_time(PASS_MS)
     assert cell.lasting().state is job.TaskState.RUNNING
+
+
+def fail_all_on(cell, names):
+    """Let short tasks fail on targets until these are in quarantine."""
+    while not all(cell.is_quarantined(name) for name in names):
+        for attempt in list(cell.tables.attempts.values()):
+            if attempt.target in names:
+                cell.ends_at.pop(attempt.attempt)
+                cell.report(attempt, job.EndReason.FAILED)
+        cell.pass_time(PASS_MS)
+
+
+def test_lasting_task_does_not_wait_for_the_end_of_a_quarantine():
+    cell = BusyCell(job.Urgency.LOW)
+    cell.pass_time(500)
+    fail_all_on(cell, ALLOWED)
+    cell.submit_lasting()
+    cell.pass_time(3000)
+    assert all(cell.is_quarantined(name) for name in ALLOWED)
+    assert cell.lasting().state is job.TaskState.RUNNING
+
+
+def test_other_work_waits_for_the_end_of_a_quarantine():
+    cell = BusyCell(job.Urgency.LOW)
+    cell.pass_time(1000)
+    fail_all_on(cell, ALLOWED)
+    cell.pass_time(1000)
+    assert not any(
+        attempt.target in ALLOWED for attempt in cell.tables.attempts.values()
+    )
