Move a lasting task where another can run on one target only

Cause: room on a target counts only if work that ends makes it, and lasting work does not end. Which targets others may use instead was not looked at.

Change: where nothing else makes room, the smallest lasting task that fits on another of its own targets is stopped there, and runs there a moment later. One that is more urgent stays, and so do steps that limit their absences.

Ruled out: to place lasting tasks first where few others may run, since which steps will depend on a target later is not known.

Evidence: the new test failed before for a task that may move; where both may use that target only, the second goes on waiting, before and after.

--- a/mulberrywalk/core/job.py
+++ b/mulberrywalk/core/job.py
@@ -128,6 +128,8 @@
     GANG_BROKEN = 'gang_broken'
     # The target leaves before the task would end.
     EVACUATED = 'evacuated'
+    # Another lasting task can run on no other target.
+    RELOCATED = 'relocated'
     # The target has not confirmed the start in time.
     UNCONFIRMED = 'unconfirmed'
 
--- a/mulberrywalk/core/reclaim.py
+++ b/mulberrywalk/core/reclaim.py
@@ -1,8 +1,9 @@
 """What has to end on a target so that a lasting task fits there.
 
-Attempts that are being stopped count as ended. Where that isn't enough, work
+Attempts that are being stopped count as ended. Where that is not enough, work
 that is no more urgent than the task may be stopped; else all work that does
-not last has to end by itself.
+not last has to end by itself. Where even that is not enough, another lasting
+task may be moved to another of its targets.
 """
 
 from __future__ import annotations
@@ -10,7 +11,7 @@
 import dataclasses
 import functools
 
-from . import fleet, job, resource, state
+from . import fleet, job, resource, state, step_placement
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -30,7 +31,7 @@
 ) -> Option | None:
     """Return how a task will fit on a target, or None if it will not."""
     demand = tables.demand(task)
-    attempts = [tables.attempts[name] for name in sorted(load.attempts)]
+    attempts = _find_attempts(tables, load)
     ending = [one for one in attempts if one.stopping is not None]
     room = _add_held(load.free, ending)
     victims: list[job.Attempt] = []
@@ -41,16 +42,77 @@
         room = _add_held(room, [victim])
     if resource.fits(demand, room):
         return Option(load, tuple(victims))
-    passing = [
-        one
-        for one in attempts
-        if one.stopping is None and not _is_lasting(tables, one)
-    ]
-    if resource.fits(demand, _add_held(load.free, ending + passing)):
+    if resource.fits(demand, _future_room(tables, load)):
         return Option(load, (), needs_wait=True)
     return None
 
 
+def find_move(
+    tables: state.State, task: job.Task, load: fleet.TargetLoad
+) -> Option | None:
+    """Return how a task fits once one lasting task has moved, or None.
+
+    The moved task fits on another target; the smallest one is chosen.
+    """
+    demand = tables.demand(task)
+    room = _future_room(tables, load)
+    rank = job.rank(tables.specification(task).urgency)
+    movable = (
+        attempt
+        for attempt in sorted(_find_attempts(tables, load), key=_move_order)
+        if resource.fits(demand, _add_held(room, [attempt]))
+        and _may_move(tables, attempt, rank)
+    )
+    moved = next(movable, None)
+    return None if moved is None else Option(load, (moved,), needs_wait=True)
+
+
+def _find_attempts(
+    tables: state.State, load: fleet.TargetLoad
+) -> list[job.Attempt]:
+    return [tables.attempts[name] for name in sorted(load.attempts)]
+
+
+def _future_room(
+    tables: state.State, load: fleet.TargetLoad
+) -> resource.Resources:
+    """Return what is free on a target when only lasting work is left."""
+    passing = [
+        attempt
+        for attempt in _find_attempts(tables, load)
+        if attempt.stopping is not None or not _is_lasting(tables, attempt)
+    ]
+    return _add_held(load.free, passing)
+
+
+def _move_order(attempt: job.Attempt) -> tuple[resource.Resources, str]:
+    return attempt.held, attempt.attempt
+
+
+def _may_move(tables: state.State, attempt: job.Attempt, rank: int) -> bool:
+    """Return whether a lasting attempt may move for work of a rank.
+
+    Where the absences of a step are limited, none is caused.
+    """
+    task = tables.tasks[attempt.task]
+    if attempt.stopping is not None or not _is_lasting(tables, attempt):
+        return False
+    step = tables.steps[task.step_id()]
+    needs = tables.step_specification(step)
+    is_more_urgent = job.rank(tables.specification(task).urgency) < rank
+    if needs.planned_absences or is_more_urgent:
+        return False
+    allowed = {ticket.target for ticket in step.tickets}
+    is_advised = tables.specification(task).advice is not None
+    return any(
+        load.is_available()
+        and load.target != attempt.target
+        and (load.target in allowed or not is_advised)
+        and find_option(tables, task, load) is not None
+        for load in step_placement.find_eligible_targets(tables, step.step)
+    )
+
+
 def _add_held(
     room: resource.Resources, attempts: list[job.Attempt]
 ) -> resource.Resources:
--- a/mulberrywalk/core/step_reservation.py
+++ b/mulberrywalk/core/step_reservation.py
@@ -160,11 +160,16 @@
 def _choose_option(
     tables: state.State, task: job.Task, reserved: list[Reservation]
 ) -> reclaim.Option | None:
-    found = (
-        reclaim.find_option(tables, task, load)
-        for load in _find_allowed(tables, task, reserved)
-    )
-    options = [option for option in found if option is not None]
+    allowed = list(_find_allowed(tables, task, reserved))
+    fitting = (reclaim.find_option(tables, task, load) for load in allowed)
+    moves = (reclaim.find_move(tables, task, load) for load in allowed)
+    return _find_best(tables, fitting) or _find_best(tables, moves)
+
+
+def _find_best(
+    tables: state.State, found: Iterator[reclaim.Option | None]
+) -> reclaim.Option | None:
+    options = (option for option in found if option is not None)
     return min(options, key=lambda option: _rank(tables, option), default=None)
 
 
@@ -213,7 +218,7 @@
     tables: state.State, task: job.Task, option: reclaim.Option
 ) -> None:
     for victim in option.victims:
-        lifecycle.stop(tables, victim, job.StopReason.PREEMPTED)
+        lifecycle.stop(tables, victim, _stop_reason(tables, victim))
     if not option.victims:
         return
     reason = 'silent target' if task.attempt else 'overdue'
@@ -227,3 +232,8 @@
             detail=f'{reason}: {counts}',
         )
     )
+
+
+def _stop_reason(tables: state.State, victim: job.Attempt) -> job.StopReason:
+    is_moved = state.is_lasting(tables, tables.tasks[victim.task])
+    return job.StopReason.RELOCATED if is_moved else job.StopReason.PREEMPTED
--- a/mulberrywalk/core/step_reservation_test.py
+++ b/mulberrywalk/core/step_reservation_test.py
@@ -33,6 +33,8 @@
         self.ends_at = {}
         self.names = iter(f'{number:016x}' for number in range(10_000))
         self.requests = []
+        # The targets that steps may run on, ALLOWED for all others.
+        self.allowed = {}
         self.runs_ms = itertools.cycle(SHORT_RUNS_MS)
 
     def pass_time(self, duration_ms):
@@ -53,8 +55,9 @@
     def end_due(self):
         for name, ends_at in list(self.ends_at.items()):
             attempt = self.tables.attempts[name]
-            is_lasting = attempt.task.startswith(LASTING)
-            if ends_at <= self.now and not is_lasting:
+            is_lasting = attempt.task.startswith('f')
+            may_end = attempt.stopping is not None or not is_lasting
+            if ends_at <= self.now and may_end:
                 self.ends_at.pop(name)
                 reason = job.EndReason.COMPLETED
                 if attempt.stopping is not None:
@@ -75,15 +78,16 @@
             )
 
     def answer(self, request):
-        allowed = sorted(ALLOWED & set(request.targets))
+        everywhere = set(request.targets)
+        allowed = sorted(self.allowed.get(request.step, ALLOWED) & everywhere)
         workflow_test.answer_advice(self, request, *allowed)
 
-    def submit_lasting(self, count=1, advice=workflow_test.TERMS):
+    def submit_lasting(self, count=1, advice=workflow_test.TERMS, name=LASTING):
         self.submit(
             workflow_test.workflow(
                 cell_test.step(count, 3500, is_lasting=True),
-                job=LASTING,
-                request_id=LASTING,
+                job=name,
+                request_id=name,
                 urgency=job.Urgency.HIGH,
                 advice=advice,
             )
@@ -217,3 +221,24 @@
     assert not any(
         attempt.target in ALLOWED for attempt in cell.tables.attempts.values()
     )
+
+
+@pytest.mark.parametrize('other_allowed', [{'t2', 't4'}, {'t2'}])
+def test_lasting_task_moves_where_another_can_run_on_one_target_only(
+    other_allowed,
+):
+    cell = BusyCell(job.Urgency.LOW)
+    other = 'f0' * 8
+    cell.allowed = {f'{other}.0.0': other_allowed, f'{LASTING}.0.0': {'t2'}}
+    cell.submit_lasting(name=other)
+    cell.pass_time(2000)
+    first = cell.tables.tasks[f'{other}.0.0.0']
+    assert first.state is job.TaskState.RUNNING
+    cell.submit_lasting()
+    cell.pass_time(6000)
+    moved = cell.tables.tasks[f'{other}.0.0.0']
+    assert moved.state is job.TaskState.RUNNING
+    expected = job.TaskState.WAITING
+    if len(other_allowed) > 1:
+        expected = job.TaskState.RUNNING
+    assert cell.lasting().state is expected
