Tell the sum of the stages of an absence

Could not be seen before: the line `lasting work absent` told the last stage only, so an absence of 13.8 s read as "no target has room" whatever it had waited for until then, and nothing was logged when the task ran again.

The leader's monitor now looks at all absent tasks once a second and adds up their stages from one look to the next. The spans of attempts are exact, from the task's history; a wait counts for the stage that was looked at, and as unseen if nobody looked at it, as before a leader's first look. `sum_ms`, the stages and `unwatched_ms` come after the existing fields. The end of an absence that was reported has one line, `lasting work runs again`. Tasks that run again are forgotten. The number of free slots is now counted once a step and not once a task, since all absent tasks are looked at.

Existing tests: the exact line of one has the new fields after the old ones; the one in which a task runs again expects the new line, and nothing in the next report.

--- a/mulberrywalk/core/absence.py
+++ b/mulberrywalk/core/absence.py
@@ -141,6 +141,7 @@
         self._fitting_targets: dict[_FitKey, list[fleet.TargetLoad]] = {}
         self._roomy_targets: dict[identity.StepId, list[fleet.TargetLoad]] = {}
         self._waiting_stages: dict[identity.StepId, Stage] = {}
+        self._free_slots: dict[identity.StepId, int] = {}
 
     def absence_start(self, task: job.Task) -> int:
         """Return since when a task is absent."""
@@ -165,7 +166,7 @@
             task.attempts,
             _count_trailing_unstarted(task),
             task.history[-1] if task.history else None,
-            self._count_free_slots(step),
+            self._free_slots_of(step),
         )
 
     def _find_stage(
@@ -234,6 +235,13 @@
             if self._remaining_on(step, needs, load)
         ]
 
+    def _free_slots_of(self, step: job.Step) -> int:
+        slots = self._free_slots.get(step.step)
+        if slots is None:
+            slots = self._count_free_slots(step)
+            self._free_slots[step.step] = slots
+        return slots
+
     def _count_free_slots(self, step: job.Step) -> int:
         needs = self._tables.step_specification(step)
         required = resource.multiply(needs.demand(), MIN_FREE_SLOTS)
--- a/mulberrywalk/replica/absence_monitor.py
+++ b/mulberrywalk/replica/absence_monitor.py
@@ -7,13 +7,28 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
+from types import MappingProxyType
 
-from ..core import absence, effect
+from ..core import absence, absence_span, effect
 from ..telemetry import journal, metric
-from . import engine
+from . import absence_watch, engine
 
 # Log lines per report, the longest absences first.
 _MAX_LINES = 3
+# Field of each stage; None is a wait that was not looked at.
+_STAGE_FIELDS = MappingProxyType(
+    {
+        absence.Stage.NO_ROOM: 'no_room_ms',
+        absence.Stage.NO_ALLOWED_ROOM: 'no_allowed_room_ms',
+        absence.Stage.AWAITING_ADVICE: 'advice_ms',
+        absence.Stage.QUEUED: 'turn_ms',
+        absence.Stage.START_UNCONFIRMED: 'start_ms',
+        absence.Stage.STOP_UNCONFIRMED: 'stop_ms',
+        absence.Stage.TARGET_SILENT: 'silent_ms',
+        absence.Stage.RETRY_DELAYED: 'retry_ms',
+        None: 'unseen_ms',
+    }
+)
 
 
 class AbsenceMonitor:
@@ -29,20 +44,31 @@
         self._engine = replica_engine
         self._journal = logger
         self._metrics = metrics
+        self._watch = absence_watch.AbsenceWatch()
 
     def report(self) -> None:
         """Log the longest current absences and update the gauges."""
         now = self._engine.time()
-        found = absence.find_absences(
-            self._engine.tables, now, absence.REPORT_AFTER_MS
-        )
+        tables = self._engine.tables
+        absences = absence.find_absences(tables, now, 0)
+        for ended in self._watch.look(tables, absences, now):
+            if ended.is_reported:
+                self._record_end(ended)
+        found = [
+            absent
+            for absent in absences
+            if now - absent.since > absence.REPORT_AFTER_MS
+        ]
         self._update_gauges(found, now)
         for rank, absent in enumerate(found[:_MAX_LINES], start=1):
             detail = _describe(absent, now)
-            self._record(absent, f'{detail} place={rank}/{len(found)}')
+            stages = self._describe_stages(absent)
+            place = f'place={rank}/{len(found)}'
+            self._record(absent, f'{detail} {place} {stages}')
 
     def clear(self) -> None:
         """Set the gauges to zero when another replica leads."""
+        self._watch.clear()
         self._update_gauges((), 0)
 
     def _update_gauges(
@@ -54,6 +80,28 @@
         self._metrics.gauge('lasting_absent_with_room', with_room)
         self._metrics.gauge('lasting_absent_longest_ms', longest_ms)
 
+    def _describe_stages(self, absent: absence.Absence) -> str:
+        fields = _sum_fields(self._watch.times_of(absent))
+        unwatched_ms = self._watch.unwatched_ms(absent)
+        if unwatched_ms:
+            fields['unwatched_ms'] = unwatched_ms
+        return effect.format_detail(fields)
+
+    def _record_end(self, ended: absence_watch.Ended) -> None:
+        fields = {
+            'ms': ended.ms,
+            'runs': ended.task.attempts,
+            **_sum_fields(ended.times),
+        }
+        self._journal.record(
+            'lasting work runs again',
+            effect.format_detail(fields),
+            job=ended.task.job,
+            task=ended.task.task,
+            attempt=ended.run.attempt,
+            target=ended.run.target,
+        )
+
     def _record(self, absent: absence.Absence, detail: str) -> None:
         attempt = absent.attempt
         self._journal.record(
@@ -66,6 +114,15 @@
         )
 
 
+def _sum_fields(times: absence_span.StageTimes) -> dict[str, int | str]:
+    """Return the sum of all stages, and each stage that took any time."""
+    fields: dict[str, int | str] = {'sum_ms': times.total()}
+    for stage, name in _STAGE_FIELDS.items():
+        if times[stage]:
+            fields[name] = times[stage]
+    return fields
+
+
 def _describe(absent: absence.Absence, now: int) -> str:
     fields: dict[str, int | str] = {
         'ms': now - absent.since,
--- a/mulberrywalk/replica/absence_monitor_test.py
+++ b/mulberrywalk/replica/absence_monitor_test.py
@@ -91,7 +91,8 @@
         target=attempt.target,
         detail='start unconfirmed: ms=7000 stage_ms=1500 runs=2 unstarted=1'
         f' room=0 last=session_lost last_target=t{int(attempt.target == "t0")}'
-        ' last_started=never last_held_ms=5000 place=1/1',
+        ' last_started=never last_held_ms=5000 place=1/1'
+        ' sum_ms=7000 start_ms=6500 unseen_ms=500 unwatched_ms=7000',
     )
     assert scene.gauges() == [1, 0, 7000]
 
@@ -114,10 +115,47 @@
     scene.submit()
     assert scene.report(3000)
     scene.cell.start(scene.attempt())
+    lines = scene.report(3000)
+    assert [line.what for line in lines] == ['lasting work runs again']
     assert not scene.report(3000)
     assert scene.gauges() == [0, 0, 0]
 
 
+def test_end_of_a_reported_absence_tells_its_stages(scene):
+    scene.submit()
+    scene.report()
+    scene.report(3000)
+    scene.cell.now += 400
+    scene.cell.start(scene.attempt())
+    line = cell_test.only(scene.report(600))
+    assert line == journal.Line(
+        line.clock,
+        'r1',
+        'dc0',
+        'lasting work runs again',
+        job=JOB_NAME,
+        task=TASK,
+        attempt=f'{TASK}/1',
+        target='t0',
+        detail='ms=3400 runs=1 sum_ms=3400 start_ms=3400',
+    )
+
+
+def test_end_of_a_short_absence_is_not_reported(scene):
+    scene.submit()
+    assert not scene.report(2000)
+    scene.cell.start(scene.attempt())
+    assert not scene.report(1000)
+
+
+def test_former_leader_forgets_the_stages(scene):
+    scene.submit()
+    scene.report(3000)
+    scene.monitor.clear()
+    scene.cell.start(scene.attempt())
+    assert not scene.report(1000)
+
+
 def test_former_leader_reports_no_absence(scene):
     scene.submit()
     assert scene.report(3000)
