Tell what became of an absent task's own targets

Could not be seen before: whether the targets that a step may use were full, silent, closed, at the step's limit or without a ticket, and whether the room that `room=` counts was on any of them. The case that users call lost without the scheduler being able to place anything could not be told from one in which it held back.

`lasting work absent` now ends with the number of targets known to be allowed, these by state, the other targets with room that are barred or unknown, and `room_elsewhere`: room over all targets and none on an allowed one. Known are targets with a ticket now or before, those on which the task was placed, and without an adviser all that match. The gauges `lasting_absent_allowed_room` and `lasting_absent_room_elsewhere` count the same over all absences. All targets are counted for the lines only, three a second at most.

Existing tests: the exact line and the exact record of one test each have the new fields as well; nothing else was changed in them.

--- a/mulberrywalk/core/absence.py
+++ b/mulberrywalk/core/absence.py
@@ -10,7 +10,7 @@
 import dataclasses
 import enum
 
-from . import advice, fleet, identity, job, resource, state
+from . import absence_target, advice, fleet, identity, job, resource, state
 
 # Users count lasting work as lost when it has not run for 3 s although there
 # is room for it, so absences are reported before that.
@@ -50,7 +50,8 @@
     recent ones in a row that ended without a start; last_ended is the most
     recent attempt that has ended. free_slots is how many times the task fits
     on the open targets of its pool, regardless of the adviser, counted up to
-    MIN_FREE_SLOTS.
+    MIN_FREE_SLOTS. allowed_room is how many of the targets known to be
+    allowed by the adviser, if there is one, have room for one task.
     """
 
     task: job.Task
@@ -62,11 +63,19 @@
     unstarted_count: int
     last_ended: job.AttemptRecord | None
     free_slots: int
+    allowed_room: int
 
     def has_room(self) -> bool:
         """Return whether users would count the task as having room."""
         return self.free_slots >= MIN_FREE_SLOTS
 
+    def is_room_elsewhere(self) -> bool:
+        """Return whether there is room, but on no target known as allowed.
+
+        Users count such a task as lost, though it cannot be placed.
+        """
+        return self.has_room() and not self.allowed_room
+
 
 def find_absences(
     tables: state.State, now: int, longer_than_ms: int
@@ -167,6 +176,7 @@
             _count_trailing_unstarted(task),
             task.history[-1] if task.history else None,
             self._free_slots_of(step),
+            self._count_allowed_room(task, step),
         )
 
     def _find_stage(
@@ -235,6 +245,13 @@
             if self._remaining_on(step, needs, load)
         ]
 
+    def _count_allowed_room(self, task: job.Task, step: job.Step) -> int:
+        roomy = self._targets_with_room(step)
+        allowed = absence_target.find_allowed(self._tables, task)
+        if allowed is None:
+            return len(roomy)
+        return sum(load.target in allowed for load in roomy)
+
     def _free_slots_of(self, step: job.Step) -> int:
         slots = self._free_slots.get(step.step)
         if slots is None:
--- a/mulberrywalk/core/absence_test.py
+++ b/mulberrywalk/core/absence_test.py
@@ -73,6 +73,7 @@
         unstarted_count=0,
         last_ended=None,
         free_slots=absence.MIN_FREE_SLOTS,
+        allowed_room=2,
     )
     cell.start(attempt_of(cell))
     assert not find_absences(cell)
--- a/mulberrywalk/replica/absence_monitor.py
+++ b/mulberrywalk/replica/absence_monitor.py
@@ -9,7 +9,7 @@
 from collections.abc import Sequence
 from types import MappingProxyType
 
-from ..core import absence, absence_span, effect
+from ..core import absence, absence_span, absence_target, effect, state
 from ..telemetry import journal, metric
 from . import absence_watch, engine
 
@@ -63,8 +63,9 @@
         for rank, absent in enumerate(found[:_MAX_LINES], start=1):
             detail = _describe(absent, now)
             stages = self._describe_stages(absent)
+            targets = _describe_targets(tables, absent)
             place = f'place={rank}/{len(found)}'
-            self._record(absent, f'{detail} {place} {stages}')
+            self._record(absent, f'{detail} {place} {stages} {targets}')
 
     def clear(self) -> None:
         """Set the gauges to zero when another replica leads."""
@@ -79,6 +80,10 @@
         self._metrics.gauge('lasting_absent', len(found))
         self._metrics.gauge('lasting_absent_with_room', with_room)
         self._metrics.gauge('lasting_absent_longest_ms', longest_ms)
+        allowed_room = sum(bool(absent.allowed_room) for absent in found)
+        elsewhere = sum(absent.is_room_elsewhere() for absent in found)
+        self._metrics.gauge('lasting_absent_allowed_room', allowed_room)
+        self._metrics.gauge('lasting_absent_room_elsewhere', elsewhere)
 
     def _describe_stages(self, absent: absence.Absence) -> str:
         fields = _sum_fields(self._watch.times_of(absent))
@@ -123,6 +128,18 @@
     return fields
 
 
+def _describe_targets(tables: state.State, absent: absence.Absence) -> str:
+    """Return what became of the targets that a task may use."""
+    counts = absence_target.count_targets(tables, absent.task)
+    fields: dict[str, int | str] = {'allowed': counts.allowed}
+    for one in absence_target.TargetState:
+        fields[one.value] = counts.by_state[one]
+    fields['barred_room'] = counts.barred_room
+    fields['unknown_room'] = counts.unknown_room
+    fields['room_elsewhere'] = 'yes' if absent.is_room_elsewhere() else 'no'
+    return effect.format_detail(fields)
+
+
 def _describe(absent: absence.Absence, now: int) -> str:
     fields: dict[str, int | str] = {
         'ms': now - absent.since,
--- a/mulberrywalk/replica/absence_monitor_test.py
+++ b/mulberrywalk/replica/absence_monitor_test.py
@@ -36,11 +36,10 @@
             self.engine, self.logger, self.metrics
         )
 
-    def submit(self, count=1):
+    def submit(self, count=1, **more):
         step = cell_test.step(count, 4000, is_lasting=True)
-        self.cell.submit(
-            cell_test.specify(1, job.Kind.WORKFLOW, steps=(step,), job=JOB_NAME)
-        )
+        more |= {'steps': (step,), 'job': JOB_NAME}
+        self.cell.submit(cell_test.specify(1, job.Kind.WORKFLOW, **more))
         self.cell.dispatch()
 
     def attempt(self):
@@ -61,6 +60,13 @@
         names = ('', '_with_room', '_longest_ms')
         return [int(shown[f'lasting_absent{name}']) for name in names]
 
+    def room_gauges(self):
+        shown = dict(
+            line.split() for line in self.metrics.render().splitlines()
+        )
+        names = ('_allowed_room', '_room_elsewhere')
+        return [int(shown[f'lasting_absent{name}']) for name in names]
+
 
 @pytest.fixture
 def scene():
@@ -92,7 +98,9 @@
         detail='start unconfirmed: ms=7000 stage_ms=1500 runs=2 unstarted=1'
         f' room=0 last=session_lost last_target=t{int(attempt.target == "t0")}'
         ' last_started=never last_held_ms=5000 place=1/1'
-        ' sum_ms=7000 start_ms=6500 unseen_ms=500 unwatched_ms=7000',
+        ' sum_ms=7000 start_ms=6500 unseen_ms=500 unwatched_ms=7000'
+        ' allowed=1 silent=0 closed=0 at_limit=0 full=1 no_ticket=0 free=0'
+        ' barred_room=0 unknown_room=0 room_elsewhere=no',
     )
     assert scene.gauges() == [1, 0, 7000]
 
@@ -105,6 +113,22 @@
     assert scene.gauges() == [1, 1, 3000]
 
 
+def test_room_that_no_allowed_target_has_is_told(scene):
+    terms = job.AdviceSettings(decision_ms=20, per_target_us=1, valid_ms=9000)
+    scene.submit(advice=terms)
+    asked = ('t0', 't1')
+    step = f'{JOB_NAME}.0.0'
+    scene.cell.apply(event.AdviceReceived, step, asked, (), 0)
+    line = cell_test.only(scene.report(3000))
+    assert 'allowed=0 ' in line.detail
+    assert line.detail.endswith(
+        'barred_room=2 unknown_room=0 room_elsewhere=yes'
+    )
+    assert scene.room_gauges() == [0, 1]
+    scene.monitor.clear()
+    assert scene.room_gauges() == [0, 0]
+
+
 def test_number_of_log_lines_is_limited(scene):
     scene.submit(count=40)
     assert len(scene.report(3000)) == 3
