Tell where each ended step spent its time

Could not be seen before: whether the steps of a queue wait for advice, for room or their turn, for the start of their tasks, or run several times. The lines of single tasks had to be merged by hand.

Each step has one line `step ended` when its last task completes, or when its job ends otherwise. `advice_ms`, `first_place_ms`, `last_place_ms` and `after_ms` add up to `ms`, from the release of the step to its end; `start_ms`, `run_ms` and `again_ms` are sums over the attempts, which the tasks' history holds. Step records keep four more numbers, with defaults: `released_at`, `first_ticket_at`, `questions`, `asking_ms`. A step that an older program released tells its sums without the stages. Questions are counted from the effects of an event and answers noted where the event is handled, so that core/advice.py stays as it is.

Existing tests: none was changed.

--- a/mulberrywalk/core/job.py
+++ b/mulberrywalk/core/job.py
@@ -354,7 +354,10 @@
     failed runs; failed_run and completed_run are the numbers of the last run
     of either kind. asked_at is when the open request to the adviser was made,
     zero for none; no new request is made before ask_after. barred names the
-    targets that the adviser does not allow.
+    targets that the adviser does not allow. released_at is when the step no
+    longer had to wait for earlier ones, first_ticket_at when the adviser first
+    allowed a target, zero for not yet or not known. questions counts the
+    requests to the adviser; asking_ms is how long those answered were open.
     """
 
     step: identity.StepId
@@ -373,6 +376,10 @@
     ask_after: int = 0
     tickets: tuple[Ticket, ...] = ()
     barred: tuple[identity.TargetId, ...] = ()
+    released_at: int = 0
+    first_ticket_at: int = 0
+    questions: int = 0
+    asking_ms: int = 0
 
 
 class Job(msgspec.Struct, frozen=True, gc=False):
--- a/mulberrywalk/core/lifecycle.py
+++ b/mulberrywalk/core/lifecycle.py
@@ -373,5 +373,7 @@
         record, state=_FINAL_STATES[worst], ended_at=tables.time
     )
     tables.finished.add((tables.time, record.job))
+    if record.specification.kind is job.Kind.WORKFLOW:
+        workflow.trace_unfinished_steps(tables, record, worst)
     tables.emit(effect.ReportJobEnd(record.job))
     tables.emit(effect.Trace('job ended', job=record.job, detail=worst.value))
--- a/mulberrywalk/core/reducer.py
+++ b/mulberrywalk/core/reducer.py
@@ -22,6 +22,7 @@
     outcome,
     session,
     state,
+    step_timing,
     usage,
 )
 
@@ -37,6 +38,7 @@
     tables.time = max(tables.time, occurred.at)
     tables.effects = []
     answer = _HANDLERS[type(occurred)](tables, occurred)
+    step_timing.count_questions(tables)
     return tables, [effect.Answer(answer), *tables.effects]
 
 
@@ -86,6 +88,16 @@
     return recorded
 
 
+def _record_advice(
+    tables: state.State, occurred: event.AdviceReceived
+) -> outcome.Outcome:
+    step = tables.steps.get(occurred.step)
+    recorded = advice.record_answer(tables, occurred)
+    if step is not None:
+        step_timing.note_answer(tables, step)
+    return recorded
+
+
 def _advance_time(
     tables: state.State, occurred: event.TimePassed
 ) -> outcome.Outcome:
@@ -108,7 +120,7 @@
             event.ReportReceived: _record_report,
             event.ConfigurationPatched: configuration_update.patch,
             event.ConfigurationReplaced: configuration_update.replace,
-            event.AdviceReceived: advice.record_answer,
+            event.AdviceReceived: _record_advice,
             event.TimePassed: _advance_time,
         }
     )
--- a/mulberrywalk/core/workflow.py
+++ b/mulberrywalk/core/workflow.py
@@ -22,6 +22,7 @@
     retry,
     speed,
     state,
+    step_timing,
 )
 
 _RETRY_DELAY_MS = 200
@@ -207,6 +208,17 @@
     return True
 
 
+def trace_unfinished_steps(
+    tables: state.State, record: job.Job, final: job.TaskState
+) -> None:
+    """Trace the end of the released steps that a job ended without."""
+    steps = (tables.steps[name] for name in steps_of(record))
+    for step in steps:
+        if step.unfinished and not step.blocked_by:
+            members = members_of(tables, step)
+            step_timing.trace_end(tables, step, members, final.value)
+
+
 def highest_attempt_number(tables: state.State, step: job.Step) -> int:
     """Return the highest attempt number of any task of a step."""
     numbers = (task.attempts for task in members_of(tables, step))
@@ -246,6 +258,7 @@
             worthless_at=due_at + _WORTHLESS_FACTOR * allowed_ms - chain_ms,
             blocked_by=len(set(needs.after)),
             unfinished=needs.count,
+            released_at=0 if needs.after else tables.time,
         )
         tables.steps[step.step] = step
         for index in range(needs.count):
@@ -301,7 +314,11 @@
     tables.steps[step.step] = step
     lifecycle.finish_task(tables, task, job.TaskState.COMPLETED)
     if step.unfinished == 0:
-        speed.add_samples(tables, step, members_of(tables, step))
+        members = members_of(tables, step)
+        speed.add_samples(tables, step, members)
+        step_timing.trace_end(
+            tables, step, members, job.TaskState.COMPLETED.value
+        )
         _unblock_dependents(tables, step)
 
 
@@ -313,14 +330,25 @@
         if completed.number not in needs.after:
             continue
         name = job.step_id(completed.job, completed.occurrence, number)
-        step = tables.steps[name]
-        step = msgspec.structs.replace(step, blocked_by=step.blocked_by - 1)
-        tables.steps[name] = step
+        step = _note_completed_earlier_step(tables, name)
         if step.blocked_by == 0:
             for task in members_of(tables, step):
                 queueing.requeue(tables, task)
 
 
+def _note_completed_earlier_step(
+    tables: state.State, name: identity.StepId
+) -> job.Step:
+    step = tables.steps[name]
+    blocked_by = step.blocked_by - 1
+    released_at = 0 if blocked_by else tables.time
+    step = msgspec.structs.replace(
+        step, blocked_by=blocked_by, released_at=released_at
+    )
+    tables.steps[name] = step
+    return step
+
+
 def _retry_task(
     tables: state.State,
     task: job.Task,
