Translate cancellations that gRPC raises on its own

Cause: a stream that was accepted and not answered. `receive` waits 1 s in a cancel scope. While a call waits for its first answer, gRPC consumes the cancellation of that scope and raises a CancelledError of its own, which no scope recognises. A task group takes a task that ends so for a request to cancel all of its tasks, and reports no reason. So one peer that was slow to answer ended the process: with code 0 and no line, or with code 1 where the control interface was cancelled within a request (hypercorn then raises InvalidStateError). After a loss of power all peers are slow to answer. Removing a silent member cancels the same wait, with the same result; a unary call within a cancel scope too. Entries use the same streams.

A server that accepts a stream and is silent reproduces it alone, three times of three.

Ruled out: a status of CANCELLED from a server that stops (15 times a ConnectionError, never a cancellation); a refused start, a damaged or lost data folder, an address in use and a broken invariant, none of which stands in the output of the processes that ended.

Change: a CancelledError out of gRPC becomes the cancellation of the scope that is cancelled, or that of the task itself, or else a ConnectionError.

The test over a real replica and three of the four tests of the streams failed before (the replica ended with code 0); a unary call that reaches its own deadline passed before too.

--- a/mulberrywalk/transport/channel.py
+++ b/mulberrywalk/transport/channel.py
@@ -6,11 +6,12 @@
 import collections
 from collections.abc import Awaitable, Callable
 from types import MappingProxyType
-from typing import Any, Generic, TypeVar
+from typing import Any, Generic, NoReturn, TypeVar
 
 import anyio
 import grpc
 import msgspec
+from anyio.lowlevel import checkpoint_if_cancelled
 
 from ..telemetry import cost
 from . import decoding
@@ -111,6 +112,8 @@
                 await self._raw.write(encoded)
             except _STREAM_ERRORS as error:
                 raise ConnectionError(str(error)) from error
+            except asyncio.CancelledError as cancellation:
+                await _raise_if_cancelled(cancellation)
             return
         raise ConnectionError(f'no message could be sent for {TIMEOUT_S} s')
 
@@ -125,6 +128,8 @@
                 encoded = await self._raw.read()
             except _STREAM_ERRORS as error:
                 raise ConnectionError(str(error)) from error
+            except asyncio.CancelledError as cancellation:
+                await _raise_if_cancelled(cancellation)
             if encoded is grpc.aio.EOF:
                 raise ConnectionError('the remote end has closed the stream')
             self._meter.count_received(len(encoded))
@@ -169,9 +174,26 @@
             reply: bytes = await unary_call(encoded, timeout=TIMEOUT_S)
         except grpc.RpcError as error:
             raise ConnectionError(f'{address}: {error.code()}') from error
+        except asyncio.CancelledError as cancellation:
+            await _raise_if_cancelled(cancellation)
     return reply
 
 
+async def _raise_if_cancelled(cancellation: asyncio.CancelledError) -> NoReturn:
+    """Raise the cancellation of this task, or else ConnectionError.
+
+    gRPC consumes a cancellation that arrives while a call waits for its first
+    answer, and raises another one that no cancel scope recognises. Unhandled,
+    that one cancels the task group of the whole process.
+    """
+    # Raises if a cancel scope of this task is cancelled.
+    await checkpoint_if_cancelled()
+    task = asyncio.current_task()
+    if task is not None and task.cancelling():
+        raise cancellation
+    raise ConnectionError('gRPC has cancelled the call') from cancellation
+
+
 class Server:
     """Serves the methods of a replica on one address."""
 
--- a/mulberrywalk/transport/channel_test.py
+++ b/mulberrywalk/transport/channel_test.py
@@ -1,9 +1,14 @@
-"""Tests streams and calls with messages that cannot be encoded or decoded.
+"""Tests streams and calls that fail.
 
-Such a message must fail only its own stream or call, so each one raises
+A message that cannot be encoded or decoded, and a server that accepts a call
+and does not answer, must fail only their own stream or call, so each one raises
 ConnectionError.
 """
 
+import contextlib
+import socket
+from types import MappingProxyType
+
 import anyio
 import msgspec
 import pytest
@@ -68,3 +73,77 @@
     monkeypatch.setattr(channel, 'call', fake_call)
     with pytest.raises(ConnectionError):
         anyio.run(channel.call_decoded, 'a:1', 'Join', b'', wire.JoinReply)
+
+
+def free_address():
+    with socket.socket() as probe:
+        probe.bind(('127.0.0.1', 0))
+        return f'127.0.0.1:{probe.getsockname()[1]}'
+
+
+async def never_answer(_):
+    await anyio.sleep_forever()
+
+
+@contextlib.asynccontextmanager
+async def silent_server():
+    """Serve streams and calls that are accepted and never answered."""
+    address = free_address()
+    server = channel.Server(address)
+    await server.start(
+        MappingProxyType({channel.PEER: never_answer}),
+        MappingProxyType({channel.JOIN: never_answer}),
+    )
+    try:
+        yield address
+    finally:
+        await server.stop()
+
+
+async def receive_from(address):
+    """Open a stream, send one batch and wait for the answer."""
+    async with channel.dial(address) as connection:
+        stream = channel.open_stream(
+            connection, channel.PEER, wire.PeerBatch, cost.Meter()
+        )
+        await stream.send(wire.PeerBatch('a', 1, ()))
+        await stream.receive()
+
+
+async def call(address):
+    await channel.call(address, channel.JOIN, b'')
+
+
+async def run_beside(use, *arguments):
+    """Run a task beside another one; returns whether the other one ended."""
+    ended = []
+
+    async def run_other():
+        await anyio.sleep(1)
+        ended.append(True)
+
+    async with silent_server() as address, anyio.create_task_group() as group:
+        group.start_soon(use, address, *arguments)
+        group.start_soon(run_other)
+    return bool(ended)
+
+
+@pytest.mark.parametrize('use', [receive_from, call])
+def test_silent_server_cancels_no_other_task(use, monkeypatch):
+    monkeypatch.setattr(channel, 'TIMEOUT_S', 0.3)
+
+    async def expect_connection_error(address):
+        with pytest.raises(ConnectionError):
+            await use(address)
+
+    assert anyio.run(run_beside, expect_connection_error)
+
+
+@pytest.mark.parametrize('use', [receive_from, call])
+def test_cancelled_wait_for_a_silent_server_cancels_no_other_task(use):
+    async def cancel(address):
+        with anyio.move_on_after(0.3) as scope:
+            await use(address)
+        assert scope.cancelled_caught
+
+    assert anyio.run(run_beside, cancel)
--- /dev/null
+++ b/tests/replica_process_test.py
@@ -0,0 +1,96 @@
+"""A replica process ends for a broken invariant only, and tells which."""
+
+import contextlib
+import subprocess
+import sys
+import time
+from types import MappingProxyType
+
+import anyio
+import pytest
+from anyio.to_thread import run_sync
+
+from demo import cell
+from mulberrywalk.consensus import message
+from mulberrywalk.storage import disk as storage
+from mulberrywalk.transport import channel
+
+DEADLINE_S = 20
+
+
+class ReplicaProcess:
+    """A replica process with an empty data folder."""
+
+    def __init__(self, folder, address, script):
+        self.log = folder / 'replica.log'
+        options = {
+            'data': folder / 'data',
+            'name': 'a',
+            'data-centre': 'dc',
+            'listen': address,
+            'replicas': address,
+        }
+        flags = [f'--{name}={text}' for name, text in options.items()]
+        with self.log.open('wb') as output:
+            self.running = subprocess.Popen(
+                [sys.executable, *script, 'run', *flags],
+                stdout=output,
+                stderr=output,
+            )
+
+    def wait_for(self, text):
+        """Wait until the log holds a text; fails if the process ends."""
+        deadline = time.monotonic() + DEADLINE_S
+        while text not in self.log.read_text():
+            assert self.running.poll() is None, self.log.read_text()
+            assert time.monotonic() < deadline, self.log.read_text()
+            time.sleep(0.05)
+
+
+@pytest.fixture
+def start_replica(tmp_path):
+    with contextlib.ExitStack() as stack:
+
+        def start(address, script=('-m', 'mulberrywalk.replica.program')):
+            replica = ReplicaProcess(tmp_path, address, script)
+            stack.callback(replica.running.wait)
+            stack.callback(replica.running.kill)
+            return replica
+
+        yield start
+
+
+def free_address():
+    port = cell.free_ports(1)[0]
+    return f'127.0.0.1:{port}'
+
+
+def test_silent_peer_ends_no_process(start_replica, tmp_path):
+    """The replica asks for votes; the other one accepts and never answers."""
+    address = free_address()
+    other = free_address()
+    founders = message.Membership(
+        (
+            message.Member(message.ReplicaId('a'), address, 'dc', voter=True),
+            message.Member(message.ReplicaId('b'), other, 'dc', voter=True),
+        )
+    )
+    storage.create_identity(tmp_path / 'data', founders, 'a')
+
+    async def run():
+        server = channel.Server(other)
+        await server.start(
+            MappingProxyType({channel.PEER: never_answer}),
+            MappingProxyType({channel.JOIN: never_answer}),
+        )
+        replica = start_replica(address)
+        await run_sync(replica.wait_for, 'role pre_candidate')
+        await anyio.sleep(4 * channel.TIMEOUT_S)
+        await server.stop()
+        return replica
+
+    assert anyio.run(run).running.poll() is None
+
+
+async def never_answer(_):
+    await anyio.sleep_forever()
