Close the connection to a removed member that is not open yet

Cause: the task that sends to another replica looked up its outbox by a key each time that it dialled. A member that was removed after its first message was queued, before the task had run, or while the delay between two dials ended in the same turn of the event loop, left a KeyError that ended the process. Lost members are dialled again and again until they are removed.

Change: outbox and cancel scope are made together with the task, and handed to it. A scope may be cancelled before it is entered.

--- a/mulberrywalk/replica/peer.py
+++ b/mulberrywalk/replica/peer.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 from typing import Any
 
 import anyio
@@ -18,6 +19,18 @@
 _OUTBOX_LIMIT = 1000
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Connection:
+    """The messages for another replica, and the scope that sends them."""
+
+    outbox: channel.Outbox[message.Message] = dataclasses.field(
+        default_factory=lambda: channel.Outbox(_OUTBOX_LIMIT)
+    )
+    scope: anyio.CancelScope = dataclasses.field(
+        default_factory=anyio.CancelScope
+    )
+
+
 class Peers:
     """Sends on one stream to each other replica and serves their streams."""
 
@@ -36,8 +49,7 @@
         self._journal = logger
         self._statuses = statuses
         self._group = group
-        self._outboxes: dict[str, channel.Outbox[message.Message]] = {}
-        self._scopes: dict[str, anyio.CancelScope] = {}
+        self._connections: dict[str, _Connection] = {}
         self._learned: dict[message.ReplicaId, message.Member] = {}
 
     def learn_members(self, members: tuple[message.Member, ...]) -> None:
@@ -56,10 +68,11 @@
         if member is None:
             return
         key = f'{receiver}@{member.address}'
-        if key not in self._outboxes:
-            self._outboxes[key] = channel.Outbox(_OUTBOX_LIMIT)
-            self._group.start_soon(self._run_outbox, key, member)
-        self._outboxes[key].put(body)
+        if key not in self._connections:
+            connection = _Connection()
+            self._connections[key] = connection
+            self._group.start_soon(self._keep_open, connection, member)
+        self._connections[key].outbox.put(body)
 
     def close_removed(self) -> None:
         """Close the streams to replicas that are no longer members."""
@@ -67,12 +80,9 @@
             f'{member.identity}@{member.address}'
             for member in self._engine.node.membership.members
         }
-        removed = set(self._outboxes) - current
+        removed = set(self._connections) - current
         for key in removed:
-            self._outboxes.pop(key)
-            scope = self._scopes.pop(key, None)
-            if scope is not None:
-                scope.cancel()
+            self._connections.pop(key).scope.cancel()
 
     async def accept(self, context: Any) -> None:
         """Serve the stream of another replica until it closes or times out."""
@@ -88,12 +98,17 @@
         except ConnectionError:
             return
 
-    async def _run_outbox(self, key: str, member: message.Member) -> None:
-        with anyio.CancelScope() as scope:
-            self._scopes[key] = scope
+    async def _keep_open(
+        self, connection: _Connection, member: message.Member
+    ) -> None:
+        """Send until the scope of the connection is cancelled.
+
+        It may be cancelled before this task runs for the first time.
+        """
+        with connection.scope:
             while True:
                 try:
-                    await self._send_from(self._outboxes[key], member)
+                    await self._send_from(connection.outbox, member)
                 except ConnectionError:
                     self._statuses.update(member.identity, None)
                     await anyio.sleep(_REDIAL_DELAY_S)
