End a replica in order, with the reason as the last line of its log

Cause: the server was stopped only if no error left the task group. Otherwise it was collected when the event loop was closed already. The reason was printed by the interpreter, past the log.

Change: server and disk are closed however the replica ends. The error is the last line of the log, with its stack; the command line and the platform's program share this, and the exit codes (3 for the data folder, else 1).

The new test, over a real process whose engine finds a broken invariant, failed before: its last line was "coroutine 'AioServer.shutdown' was never awaited".

--- a/mulberrywalk/platform/replica.py
+++ b/mulberrywalk/platform/replica.py
@@ -119,7 +119,7 @@
     program_settings = to_replica_settings(settings, folder)
     journal.open_log(is_json=program_settings.log_format == 'json')
     extension = PlatformExtension(settings)
-    anyio.run(program.serve, program_settings, extension, backend='asyncio')
+    program.run_to_end(program_settings, extension)
 
 
 if __name__ == '__main__':
--- a/mulberrywalk/replica/program.py
+++ b/mulberrywalk/replica/program.py
@@ -4,9 +4,11 @@
 
 import abc
 import collections
+import contextlib
 import dataclasses
 import pathlib
 import signal
+import sys
 from types import MappingProxyType
 from typing import Annotated
 
@@ -21,7 +23,10 @@
 from ..transport import channel, wire
 from . import engine, leader, peer, status
 
+_EXIT_FAILURE = 1
 _EXIT_STORAGE = 3
+# How long the server may take to close its streams when the process ends.
+_SERVER_STOP_TIMEOUT_S = 1.0
 _HANDOVER_TIMEOUT_S = 4.0
 _POLL_INTERVAL_S = 0.05
 _JOIN_INTERVAL_S = 0.2
@@ -129,12 +134,7 @@
     )
     checker.exit_on_errors()
     journal.open_log(is_json=settings.log_format == 'json')
-    try:
-        anyio.run(serve, settings, backend='asyncio')
-    except* (storage.StorageError, OSError) as errors:
-        for error in errors.exceptions:
-            typer.echo(str(error), err=True)
-        raise typer.Exit(_EXIT_STORAGE) from errors
+    run_to_end(settings)
 
 
 def parse_founder(checker: setting.Checker, text: str) -> message.Member:
@@ -175,11 +175,34 @@
         """Do nothing."""
 
 
+def run_to_end(settings: Settings, extension: Extension | None = None) -> None:
+    """Run the replica until a signal stops it.
+
+    An error that ends it is the last line of the log, with its stack, and
+    gives the exit code.
+    """
+    try:
+        anyio.run(serve, settings, extension, backend='asyncio')
+    except Exception as error:
+        create_journal(settings).report_end(error)
+        sys.exit(_exit_code(error))
+
+
+def create_journal(settings: Settings) -> journal.Journal:
+    """Return a journal with the name of the replica."""
+    return journal.Journal(journal.Origin(settings.name, settings.data_centre))
+
+
+def _exit_code(error: Exception) -> int:
+    """Return the exit code; errors of the data folder have their own."""
+    group = ExceptionGroup('', [error])
+    has_storage_error = group.subgroup((storage.StorageError, OSError))
+    return _EXIT_STORAGE if has_storage_error else _EXIT_FAILURE
+
+
 async def serve(settings: Settings, extension: Extension | None = None) -> None:
     """Compose the replica and run it until a signal stops it."""
-    logger = journal.Journal(
-        journal.Origin(settings.name, settings.data_centre)
-    )
+    logger = create_journal(settings)
     loaded = storage.load(settings.folder, settings.name)
     disk = storage.Disk(settings.folder, loaded)
     replica_engine = engine.Engine(
@@ -197,7 +220,10 @@
         replica_engine, logger, metrics, settings.policy, statuses
     )
     server = channel.Server(settings.listen)
-    async with anyio.create_task_group() as group:
+    async with contextlib.AsyncExitStack() as stack:
+        stack.callback(disk.close)
+        stack.push_async_callback(_stop_server, server)
+        group = await stack.enter_async_context(anyio.create_task_group())
         peers = peer.Peers(replica_engine, logger, statuses, group)
         replica_engine.callbacks = _create_callbacks(peers, replica_leader)
         await _start_server(server, peers, replica_leader, logger)
@@ -206,13 +232,20 @@
         group.start_soon(replica_leader.run)
         group.start_soon(_join_cell, settings, replica_engine, peers, logger)
         group.start_soon(_stop_on_signal, replica_engine, logger, group)
-        active_extension = extension or NoExtension()
         parts = ReplicaComponents(
             settings, replica_engine, replica_leader, logger, metrics
         )
-        group.start_soon(active_extension.run, parts)
-    await server.stop()
-    disk.close()
+        group.start_soon((extension or NoExtension()).run, parts)
+
+
+async def _stop_server(server: channel.Server) -> None:
+    """Close all streams, also when an error or a cancellation ends serve.
+
+    A server that is left running when the event loop closes prints a stack of
+    its own after the reason for the end.
+    """
+    with anyio.move_on_after(_SERVER_STOP_TIMEOUT_S, shield=True):
+        await server.stop()
 
 
 async def _start_server(
--- a/mulberrywalk/telemetry/journal.py
+++ b/mulberrywalk/telemetry/journal.py
@@ -7,6 +7,7 @@
 import dataclasses
 import os
 import sys
+import traceback
 from collections.abc import Iterable
 from typing import Annotated, Any
 
@@ -149,6 +150,13 @@
             message = f'{what}: {detail}' if detail else what
             self._logger.bind(left_out=left_out).warning(message)
 
+    def report_end(self, error: BaseException) -> None:
+        """Log why this process ends; the last line is the error itself."""
+        reason = _unwrap(error)
+        stack = ''.join(traceback.format_exception(reason)).rstrip()
+        message = f'ended by an error: {reason!r}\n{stack}'
+        self._logger.critical(message)
+
     def find(self, line_filter: Filter) -> list[Line]:
         """Return the kept lines that match the filter."""
         return select(self._lines, line_filter)
@@ -164,6 +172,14 @@
     return sorted(set(lines), key=lambda line: (line.clock, line.process))
 
 
+def _unwrap(error: BaseException) -> BaseException:
+    """Return the only error of nested groups, or else the group."""
+    reason = error
+    while isinstance(reason, BaseExceptionGroup) and len(reason.exceptions) < 2:
+        reason = reason.exceptions[0]
+    return reason
+
+
 def open_log(*, is_json: bool) -> None:
     """Send the log of this process to standard output."""
     loguru.logger.remove()
--- a/tests/replica_process_test.py
+++ b/tests/replica_process_test.py
@@ -17,6 +17,18 @@
 
 DEADLINE_S = 20
 
+# Runs the program with an engine that finds a broken invariant.
+BROKEN_PROGRAM = """
+import sys
+from mulberrywalk.replica import engine, program
+
+async def fail(self):
+    raise AssertionError('committed entry 7 would be replaced')
+
+engine.Engine.run = fail
+program.main()
+"""
+
 
 class ReplicaProcess:
     """A replica process with an empty data folder."""
@@ -65,6 +77,16 @@
     return f'127.0.0.1:{port}'
 
 
+def test_reason_for_the_end_is_the_last_log_line(start_replica):
+    replica = start_replica(free_address(), ('-c', BROKEN_PROGRAM))
+    assert replica.running.wait(DEADLINE_S) == 1
+    text = replica.log.read_text()
+    lines = text.strip().splitlines()
+    reason = 'AssertionError: committed entry 7 would be replaced'
+    assert lines[-1] == reason, lines[-9:]
+    assert 'Event loop is closed' not in text
+
+
 def test_silent_peer_ends_no_process(start_replica, tmp_path):
     """The replica asks for votes; the other one accepts and never answers."""
     address = free_address()
