Try again what the disk or the address of a replica refuses

Cause: a write, a sync, a folder or an address that was refused ended the program. What is refused now may be possible a moment later.

Until a batch is synced nothing that depends on it is sent, and a leader loses its lease. So that a repetition leaves no damage behind, the rest of a failed write is truncated before the whole batch is written again, a new segment replaces the current one only when it is complete, a repeated opening uses the same file, and a repeated installation does not remove the segment in use. A founder whose first start was refused still founds the cell. Without any address of another replica it asks itself instead of failing. Damage in the middle of a file and a missing entry still end the program.

--- a/mulberrywalk/platform/replica.py
+++ b/mulberrywalk/platform/replica.py
@@ -12,7 +12,7 @@
 from hypercorn import config as hypercorn_config
 
 from ..consensus import message
-from ..replica import leader, program
+from ..replica import leader, program, retry
 from ..storage import disk as storage
 from ..telemetry import journal
 from . import control_api, http, setting
@@ -54,10 +54,14 @@
         config.accesslog = None
         config.errorlog = None
         config.graceful_timeout = 0.2
-        await hypercorn_server.serve(
-            serve,  # type: ignore[arg-type]
-            config,
-            shutdown_trigger=anyio.sleep_forever,
+        await retry.until_done(
+            components.logger,
+            'control interface',
+            lambda: hypercorn_server.serve(
+                serve,  # type: ignore[arg-type]
+                config,
+                shutdown_trigger=anyio.sleep_forever,
+            ),
         )
 
 
@@ -65,11 +69,12 @@
     """Create the cell on the first start if this replica is a seed.
 
     All seeds have the same list of seeds, so that they create the same cell.
-    A folder that is not empty is left unchanged.
+    A folder that is not empty is left unchanged; temporary files of a call that
+    was refused or interrupted do not count. Raises OSError if the disk refuses.
     """
     hosts = settings.seed_hosts()
     folder.mkdir(parents=True, exist_ok=True)
-    is_empty = not any(folder.iterdir())
+    is_empty = all(path.suffix == '.new' for path in folder.iterdir())
     if not (settings.bootstrap and is_empty and settings.ip in hosts):
         return
     founders = message.Membership(
@@ -115,9 +120,17 @@
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     settings = setting.read(setting.find_path())
     folder = pathlib.Path(settings.data_dir or '')
-    bootstrap_cell(settings, folder)
     program_settings = to_replica_settings(settings, folder)
     journal.open_log(is_json=program_settings.log_format == 'json')
+    anyio.run(
+        retry.in_thread,
+        program.create_journal(program_settings),
+        'data folder',
+        bootstrap_cell,
+        settings,
+        folder,
+        backend='asyncio',
+    )
     extension = PlatformExtension(settings)
     program.run_to_end(program_settings, extension)
 
--- a/mulberrywalk/replica/engine.py
+++ b/mulberrywalk/replica/engine.py
@@ -15,14 +15,13 @@
 
 import anyio
 import msgspec
-from anyio.to_thread import run_sync
 
 from ..consensus import message, node, raft
 from ..core import effect, event, outcome, snapshot, state
 from ..storage import disk as storage
 from ..telemetry import clock, journal
 from ..transport import decoding
-from . import proposal, state_machine
+from . import proposal, retry, state_machine
 
 TICK_INTERVAL_S = 0.03
 # Below the heartbeat interval, so that a leader with a long backlog of
@@ -173,7 +172,7 @@
         return self._proposals.count_waiting()
 
     async def run(self) -> None:
-        """Run rounds forever; raises StorageError when the disk fails."""
+        """Run rounds forever; a round waits while the disk refuses it."""
         while True:
             with anyio.move_on_after(TICK_INTERVAL_S):
                 await self._wake.wait()
@@ -266,10 +265,16 @@
     ) -> None:
         if saves:
             committed = self.node.commit_index
-            await run_sync(self._disk.write, saves, committed)
+            # Until it succeeds this replica sends nothing that depends on it,
+            # and a leader loses its lease.
+            await retry.in_thread(
+                self._journal, 'disk', self._disk.write, saves, committed
+            )
 
     async def _install(self, received: message.Snapshot) -> None:
-        await run_sync(self._disk.install_snapshot, received)
+        await retry.in_thread(
+            self._journal, 'disk', self._disk.install_snapshot, received
+        )
         self._state_machine.install(received)
         self._snapshot_index = received.index
         self._journal.record('snapshot installed', str(received.index))
@@ -317,7 +322,12 @@
             snapshot.encode(self.tables),
         )
         self._snapshot_index = applied
-        await run_sync(self._disk.save_snapshot, taken)
-        await run_sync(self._disk.rotate, self.node.log.last_index() + 1)
+        await retry.in_thread(
+            self._journal, 'disk', self._disk.save_snapshot, taken
+        )
+        next_index = self.node.log.last_index() + 1
+        await retry.in_thread(
+            self._journal, 'disk', self._disk.rotate, next_index
+        )
         compacted_index = max(applied - _RETAINED_ENTRIES, 0)
         raft.step(self.node, node.Compacted(compacted_index))
--- a/mulberrywalk/replica/engine_test.py
+++ b/mulberrywalk/replica/engine_test.py
@@ -11,7 +11,7 @@
 from ..core import cell_test, configuration, event, job, outcome, resource
 from ..storage import disk as storage
 from ..telemetry import clock, journal
-from . import engine
+from . import engine, retry
 
 ENTRIES = 400
 # Each reading of the clock advances it by the cost of an expensive entry.
@@ -177,3 +177,27 @@
     restarted = open_engine(tmp_path)
     lead(restarted)
     assert len(restarted.tables.sessions) == 1
+
+
+def test_round_waits_while_the_disk_refuses_to_write(
+    leading_engine, tmp_path, monkeypatch
+):
+    lead(leading_engine)
+    monkeypatch.setattr(retry, 'DELAY_S', 0.01)
+    sync = storage.os.fdatasync
+    refusals = [OSError(5, 'Input/output error') for _ in range(3)]
+
+    def refuse_or_sync(descriptor):
+        if refusals:
+            raise refusals.pop()
+        sync(descriptor)
+
+    monkeypatch.setattr(storage.os, 'fdatasync', refuse_or_sync)
+    answers = []
+    leading_engine.propose(session_opened(), answers.append)
+    run_rounds(leading_engine, 3)
+    assert not refusals
+    assert isinstance(answers[0], outcome.SessionGranted)
+    restarted = open_engine(tmp_path)
+    lead(restarted)
+    assert len(restarted.tables.sessions) == 1
--- a/mulberrywalk/replica/program.py
+++ b/mulberrywalk/replica/program.py
@@ -21,7 +21,7 @@
 from ..storage import disk as storage
 from ..telemetry import cost, journal, metric, setting
 from ..transport import channel, wire
-from . import engine, leader, peer, status
+from . import engine, leader, peer, retry, status
 
 _EXIT_FAILURE = 1
 _EXIT_STORAGE = 3
@@ -203,8 +203,13 @@
 async def serve(settings: Settings, extension: Extension | None = None) -> None:
     """Compose the replica and run it until a signal stops it."""
     logger = create_journal(settings)
-    loaded = storage.load(settings.folder, settings.name)
-    disk = storage.Disk(settings.folder, loaded)
+    loaded, disk = await retry.in_thread(
+        logger,
+        'data folder',
+        storage.open_folder,
+        settings.folder,
+        settings.name,
+    )
     replica_engine = engine.Engine(
         loaded,
         disk,
@@ -259,13 +264,15 @@
         channel.LINK: replica_leader.links.accept,
     }
     unary_methods = _UnaryMethods(replica_leader, logger)
-    await server.start(
-        MappingProxyType(streams),
-        MappingProxyType(
-            {
-                channel.JOIN: unary_methods.join,
-                channel.TIMELINE: unary_methods.show_timeline,
-            }
+    calls = {
+        channel.JOIN: unary_methods.join,
+        channel.TIMELINE: unary_methods.show_timeline,
+    }
+    await retry.until_done(
+        logger,
+        'listen',
+        lambda: server.start(
+            MappingProxyType(streams), MappingProxyType(calls)
         ),
     )
 
@@ -319,7 +326,7 @@
         voter=False,
     )
     encoded = msgspec.msgpack.encode(wire.JoinRequest(member))
-    addresses = collections.deque(settings.replicas)
+    addresses = _initial_addresses(settings)
     was_member = False
     while True:
         await anyio.sleep(_JOIN_INTERVAL_S)
@@ -346,6 +353,11 @@
             addresses.appendleft(reply.leader)
 
 
+def _initial_addresses(settings: Settings) -> collections.deque[str]:
+    # Without any other address it asks itself, until another one is learned.
+    return collections.deque(settings.replicas or (settings.advertise,))
+
+
 async def _ask_to_join(address: str, encoded: bytes) -> wire.JoinReply:
     """Ask a replica to admit this one; without an answer, return no leader."""
     try:
--- a/mulberrywalk/storage/disk.py
+++ b/mulberrywalk/storage/disk.py
@@ -38,6 +38,10 @@
     """The data folder cannot be used; the message names the file and reason."""
 
 
+class DiskRefusalError(StorageError, OSError):
+    """The disk refuses an operation, which may succeed when it is repeated."""
+
+
 class Identity(msgspec.Struct, frozen=True):
     """The identity of a replica, which lasts as long as its disk.
 
@@ -143,6 +147,16 @@
     return LoadedState(identity, vote, log, snapshot, commit_index)
 
 
+def open_folder(folder: pathlib.Path, name: str) -> tuple[LoadedState, Disk]:
+    """Load a data folder and open its write-ahead log.
+
+    After an OSError it can be called again: load truncates what the earlier
+    call has left in its segment.
+    """
+    loaded = load(folder, name)
+    return loaded, Disk(folder, loaded)
+
+
 class Disk:
     """The open write-ahead log of a data folder."""
 
@@ -156,6 +170,7 @@
             map(_sequence_number, _list_segments(folder)), default=0
         )
         self._segment_size = 0
+        self._has_failed_write = False
         self._open_segment(loaded.log.last_index() + 1)
 
     def write(
@@ -167,8 +182,8 @@
 
         commit_index is the index known to be committed; a restarted replica
         applies entries up to it before it has contact with a leader. Raises
-        StorageError if the write fails: no part of the batch may then be
-        acknowledged.
+        DiskRefusalError if the write fails: no part of the batch may then be
+        acknowledged, and the same batch has to be written again.
         """
         votes = [save for save in effects if isinstance(save, node.SaveVote)]
         if votes:
@@ -178,10 +193,9 @@
             records.append(CommitRecord(commit_index))
         blob = frame.pack(msgspec.msgpack.encode(records))
         try:
-            _write_all(self._descriptor, blob)
+            self._append(blob)
         except OSError as error:
-            raise StorageError(f'write-ahead log: {error}') from error
-        self._segment_size += len(blob)
+            raise DiskRefusalError(f'write-ahead log: {error}') from error
 
     def rotate(self, next_index: int) -> None:
         """Start a new segment if the current one has reached SEGMENT_BYTES."""
@@ -201,7 +215,12 @@
 
     def install_snapshot(self, snapshot: message.Snapshot) -> None:
         """Replace state and log with a snapshot received from the leader."""
-        old_segments = _list_segments(self._folder)
+        # A refused call may have left the file that is opened below.
+        old_segments = [
+            path
+            for path in _list_segments(self._folder)
+            if _sequence_number(path) <= self._sequence
+        ]
         payload = frame.pack(msgspec.msgpack.encode(snapshot))
         _replace_file(self._folder / _SNAPSHOT_FILE, payload)
         self._snapshot = snapshot
@@ -220,20 +239,42 @@
         """Close the current segment."""
         os.close(self._descriptor)
 
+    def _append(self, blob: bytes) -> None:
+        # What a failed write has left is removed, or the segment would be
+        # damaged in front of this batch. All bytes of the batch are written
+        # again, because a failed sync may have dropped any of them.
+        if self._has_failed_write:
+            os.ftruncate(self._descriptor, self._segment_size)
+        self._has_failed_write = True
+        _write_all(self._descriptor, blob)
+        self._has_failed_write = False
+        self._segment_size += len(blob)
+
     def _open_segment(self, next_index: int) -> None:
-        if self._descriptor >= 0:
-            os.close(self._descriptor)
-        self._sequence += 1
-        number = str(self._sequence).zfill(_SEQUENCE_DIGITS)
+        """Replace the current segment, which is kept if an OSError is raised.
+
+        A repeated call with the same index opens the same file.
+        """
+        number = str(self._sequence + 1).zfill(_SEQUENCE_DIGITS)
         first = str(next_index).zfill(_INDEX_DIGITS)
         path = self._folder / f'log-{number}-{first}.wal'
-        flags = os.O_WRONLY | os.O_CREAT | os.O_APPEND
-        self._descriptor = os.open(path, flags, _FILE_MODE)
-        self._segment_size = os.fstat(self._descriptor).st_size
-        _sync_folder(self._folder)
         # Each segment starts with the vote, so that older segments can be
         # deleted.
-        self.write([self._vote])
+        vote = frame.pack(msgspec.msgpack.encode([_to_record(self._vote)]))
+        flags = os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_APPEND
+        with contextlib.ExitStack() as stack:
+            descriptor = os.open(path, flags, _FILE_MODE)
+            stack.callback(os.close, descriptor)
+            _sync_folder(self._folder)
+            _write_all(descriptor, vote)
+            stack.pop_all()
+        previous = self._descriptor
+        self._descriptor = descriptor
+        self._segment_size = len(vote)
+        self._has_failed_write = False
+        self._sequence += 1
+        if previous >= 0:
+            os.close(previous)
 
 
 def _to_record(effect: node.SaveVote | node.SaveEntries) -> Record:
@@ -334,7 +375,7 @@
         with _open_file(temporary, flags) as descriptor:
             _write_all(descriptor, payload)
     except OSError as error:
-        raise StorageError(f'{path}: {error}') from error
+        raise DiskRefusalError(f'{path}: {error}') from error
     temporary.replace(path)
     _sync_folder(path.parent)
 
--- a/mulberrywalk/storage/disk_test.py
+++ b/mulberrywalk/storage/disk_test.py
@@ -3,7 +3,7 @@
 import pytest
 
 from ..consensus import message, node
-from . import disk
+from . import disk, frame
 
 
 def member(name):
@@ -172,3 +172,127 @@
     monkeypatch.setattr(disk.os, 'fsync', record_fsync)
     assert disk.load(folder, 'a').log.last_index() == 2
     assert str(segment) in synced
+
+
+class RefusingDisk:
+    """Makes one system call fail some number of times, then work again."""
+
+    def __init__(self, monkeypatch, name):
+        self.refusals = 0
+        self._call = getattr(disk.os, name)
+        monkeypatch.setattr(disk.os, name, self._refuse_or_call)
+
+    def _refuse_or_call(self, *arguments):
+        if self.refusals:
+            self.refusals -= 1
+            raise OSError(5, 'Input/output error')
+        return self._call(*arguments)
+
+
+def test_refused_sync_leaves_no_damage_when_it_is_repeated(folder, monkeypatch):
+    opened = open_disk(folder)
+    opened.write([entries(1, 5)])
+    syncs = RefusingDisk(monkeypatch, 'fdatasync')
+    syncs.refusals = 2
+    for _ in range(2):
+        with pytest.raises(disk.DiskRefusalError):
+            opened.write([entries(6, 9)])
+    opened.write([entries(6, 9)])
+    opened.write([entries(10, 12)])
+    frames = frame.unpack(segments(folder)[-1].read_bytes())
+    # One frame each of the vote and the three batches.
+    assert len(frames.payloads) == 4
+    assert disk.load(folder, 'a').log.last_index() == 12
+
+
+def test_partial_write_leaves_no_damage_when_it_is_repeated(
+    folder, monkeypatch
+):
+    opened = open_disk(folder)
+    write = disk.os.write
+
+    def write_part(descriptor, blob):
+        write(descriptor, blob[: len(blob) // 2])
+        raise OSError(28, 'No space left on device')
+
+    with monkeypatch.context() as patched:
+        patched.setattr(disk.os, 'write', write_part)
+        for _ in range(2):
+            with pytest.raises(disk.DiskRefusalError):
+                opened.write([entries(1, 9)])
+    opened.write([entries(1, 9)])
+    opened.write([entries(10, 12)])
+    assert disk.load(folder, 'a').log.last_index() == 12
+
+
+@pytest.mark.parametrize('name', ['open', 'fsync', 'fdatasync', 'write'])
+@pytest.mark.parametrize('refusals', [1, 2])
+def test_refused_rotation_keeps_the_current_segment(
+    folder, monkeypatch, name, refusals
+):
+    monkeypatch.setattr(disk, 'SEGMENT_BYTES', 1)
+    opened = open_disk(folder)
+    opened.write([node.SaveVote(4, None), entries(1, 5)])
+    refusing = RefusingDisk(monkeypatch, name)
+    refusing.refusals = refusals
+    for _ in range(refusals):
+        with pytest.raises(OSError, match='Input/output error'):
+            opened.rotate(6)
+    # The process may be killed here, and a started one sees these files.
+    assert disk.load(folder, 'a').log.last_index() == 5
+    opened.write([entries(6, 6)])
+    opened.rotate(7)
+    opened.write([entries(7, 8)])
+    loaded = disk.load(folder, 'a')
+    assert loaded.log.last_index() == 8
+    assert loaded.vote.term == 4
+
+
+@pytest.mark.parametrize('name', ['open', 'fsync', 'fdatasync', 'write'])
+@pytest.mark.parametrize('refusals', [1, 2])
+def test_refused_snapshots_are_complete_when_they_are_repeated(
+    folder, monkeypatch, name, refusals
+):
+    opened = open_disk(folder)
+    opened.write([node.SaveVote(4, None), entries(1, 5)])
+    founders = disk.load(folder, 'a').identity.founders
+    received = message.Snapshot(90, 3, founders, b'state')
+    refusing = RefusingDisk(monkeypatch, name)
+    refusing.refusals = refusals
+    for _ in range(refusals):
+        with pytest.raises(OSError, match='Input/output error'):
+            opened.install_snapshot(received)
+    opened.install_snapshot(received)
+    opened.write([entries(91, 92, term=4)])
+    loaded = disk.load(folder, 'a')
+    assert loaded.log.last_index() == 92
+    assert loaded.vote.term == 4
+
+
+def test_refused_removal_of_segments_keeps_the_one_in_use(folder, monkeypatch):
+    opened = open_disk(folder)
+    opened.write([node.SaveVote(4, None), entries(1, 5)])
+    founders = disk.load(folder, 'a').identity.founders
+    received = message.Snapshot(90, 3, founders, b'state')
+    refusing = RefusingDisk(monkeypatch, 'unlink')
+    refusing.refusals = 1
+    with pytest.raises(OSError, match='Input/output error'):
+        opened.install_snapshot(received)
+    opened.install_snapshot(received)
+    opened.write([entries(91, 92, term=4)])
+    assert disk.load(folder, 'a').log.last_index() == 92
+
+
+@pytest.mark.parametrize('name', ['open', 'fsync', 'fdatasync', 'write'])
+def test_refused_opening_is_repeated(folder, monkeypatch, name):
+    opened = open_disk(folder)
+    opened.write([node.SaveVote(4, None), entries(1, 5)])
+    refusing = RefusingDisk(monkeypatch, name)
+    for _ in range(3):
+        refusing.refusals = 1
+        with pytest.raises(OSError, match='Input/output error'):
+            disk.open_folder(folder, 'a')
+    loaded, reopened = disk.open_folder(folder, 'a')
+    reopened.write([entries(6, 7)])
+    assert loaded.log.last_index() == 5
+    assert disk.load(folder, 'a').log.last_index() == 7
--- a/mulberrywalk/transport/channel.py
+++ b/mulberrywalk/transport/channel.py
@@ -207,7 +207,14 @@
         streams: MappingProxyType[str, StreamHandler],
         calls: MappingProxyType[str, CallHandler],
     ) -> None:
-        """Start listening; raises OSError when the address cannot be bound."""
+        """Start listening.
+
+        Raises OSError when the address cannot be bound; it can be called again.
+        """
+        try:
+            self._server.add_insecure_port(self._address)
+        except RuntimeError as error:
+            raise OSError(f'cannot listen on {self._address}') from error
         handlers: dict[str, Any] = {
             name: grpc.stream_stream_rpc_method_handler(_stream_handler(method))
             for name, method in streams.items()
@@ -222,10 +229,6 @@
             SERVICE, handlers
         )
         self._server.add_generic_rpc_handlers((generic_handler,))
-        try:
-            self._server.add_insecure_port(self._address)
-        except RuntimeError as error:
-            raise OSError(f'cannot listen on {self._address}') from error
         await self._server.start()
 
     async def stop(self) -> None:
--- a/tests/replica_process_test.py
+++ b/tests/replica_process_test.py
@@ -1,6 +1,7 @@
 """A replica process ends for a broken invariant only, and tells which."""
 
 import contextlib
+import socket
 import subprocess
 import sys
 import time
@@ -87,6 +88,24 @@
     assert 'Event loop is closed' not in text
 
 
+def test_address_in_use_ends_no_process(start_replica):
+    address = free_address()
+    host, port = address.split(':')
+    with socket.create_server((host, int(port))):
+        replica = start_replica(address)
+        replica.wait_for('listen: refused, trying again')
+    replica.wait_for('replica running')
+
+
+def test_refused_data_folder_ends_no_process(start_replica, tmp_path):
+    folder = tmp_path / 'data'
+    folder.write_text('a file stands where the folder belongs')
+    replica = start_replica(free_address())
+    replica.wait_for('data folder: refused, trying again')
+    folder.unlink()
+    replica.wait_for('replica running')
+
+
 def test_silent_peer_ends_no_process(start_replica, tmp_path):
     """The replica asks for votes; the other one accepts and never answers."""
     address = free_address()
