--- a/mulberrywalk/replica/engine.py
+++ b/mulberrywalk/replica/engine.py
@@ -226,17 +226,19 @@
     async def _save_all(self, effects: list[node.Effect]) -> bool:
         """Write and sync the saves in order.
 
-        Returns whether there were any after the last installed snapshot.
+        Returns whether there were any after the last installed snapshot. The
+        commit index is that of the snapshot, so it is not written before the
+        snapshot is: the log on disk may end in entries that are not committed.
         """
         saves: list[node.SaveVote | node.SaveEntries] = []
         for node_effect in effects:
             if isinstance(node_effect, node.InstallSnapshot):
-                await self._save(saves)
+                await self._save(saves, 0)
                 saves = []
                 await self._install(node_effect.snapshot)
             elif isinstance(node_effect, node.SaveVote | node.SaveEntries):
                 saves.append(node_effect)
-        await self._save(saves)
+        await self._save(saves, self.node.commit_index)
         return bool(saves)
 
     def _execute(self, node_effect: node.Effect) -> None:
@@ -261,10 +263,9 @@
         self.callbacks.send(wanted.receiver, request)
 
     async def _save(
-        self, saves: list[node.SaveVote | node.SaveEntries]
+        self, saves: list[node.SaveVote | node.SaveEntries], committed: int
     ) -> None:
         if saves:
-            committed = self.node.commit_index
             # Until it succeeds this replica sends nothing that depends on it,
             # and a leader loses its lease.
             await retry.in_thread(
--- a/mulberrywalk/replica/engine_test.py
+++ b/mulberrywalk/replica/engine_test.py
@@ -201,3 +201,29 @@
     restarted = open_engine(tmp_path)
     lead(restarted)
     assert len(restarted.tables.sessions) == 1
+
+
+class PowerLossError(Exception):
+    """Power is lost before a received snapshot is installed."""
+
+
+def test_power_loss_before_an_installed_snapshot_commits_no_entry(
+    folder, monkeypatch
+):
+    """The log may hold entries that the leader's snapshot does not have."""
+    replica_engine = open_engine(folder)
+    members = replica_engine.node.membership
+    received = message.Snapshot(ENTRIES * 2, 5, members, b'')
+
+    def lose_power(*_):
+        raise PowerLossError
+
+    monkeypatch.setattr(storage.Disk, 'install_snapshot', lose_power)
+    leader = message.ReplicaId('b')
+    request = message.SnapshotRequest(5, received, 1)
+    replica_engine.enqueue(node.Received(leader, request))
+    with pytest.raises(PowerLossError):
+        run_rounds(replica_engine, 1)
+    loaded = storage.load(folder, 'a')
+    assert loaded.vote.term == 5
+    assert loaded.commit_index == ENTRIES // 2
