Ask the adviser by other entries than one that did not answer

Cause: the free entry with the lowest name was asked each time. One that is linked and can't reach the adviser, or is frozen or slow, was asked again and again, 2 s and more a question, and a question that was asked anew just after the deadline of the first was dropped.

Change: an entry that left a question unanswered, or failed it, is used after others for 10 s or until it answers one. A question past its deadline does not keep the next one of its step from being sent.

Evidence: two of the new tests failed before, for unanswered and for failed questions; the third holds that a lone entry is asked again.

--- a/mulberrywalk/replica/advice_queue.py
+++ b/mulberrywalk/replica/advice_queue.py
@@ -17,6 +17,8 @@
 
 # One in this many entries is reserved for the most urgent requests.
 _ENTRIES_PER_RESERVED = 3
+# For how long an entry that left a request unanswered is used after others.
+_AVOID_MS = 10_000
 # Grace period after the expected duration of a request, before it is dropped
 # and its entry is free again.
 _GRACE_MS = 1000
@@ -39,16 +41,25 @@
         self._links = links
         self._waiting: dict[identity.StepId, effect.AskAdvice] = {}
         self._open: dict[identity.StepId, OpenRequest] = {}
+        # Until when entries that left a request unanswered are used last.
+        self._avoided_until: dict[str, int] = {}
 
     def add(self, wanted: effect.AskAdvice) -> None:
         """Queue a request until an entry is free for it."""
-        if wanted.step not in self._open:
+        asked = self._open.get(wanted.step)
+        if asked is None or asked.deadline <= clock.monotonic_ms():
             self._waiting[wanted.step] = wanted
         self.send_waiting()
 
-    def complete(self, step: identity.StepId) -> None:
-        """Remove an answered request; its entry is free again."""
-        self._open.pop(step, None)
+    def complete(
+        self, step: identity.StepId, *, has_failed: bool = False
+    ) -> None:
+        """Remove an answered or failed request; its entry is free again."""
+        completed = self._open.pop(step, None)
+        if completed is not None and has_failed:
+            self._avoid(completed.entry, clock.monotonic_ms())
+        elif completed is not None:
+            self._avoided_until.pop(completed.entry.process, None)
         self.send_waiting()
 
     def send_waiting(self) -> None:
@@ -60,7 +71,7 @@
             key=lambda waiting: job.rank(waiting.urgency),
         )
         for wanted in ordered:
-            entry = self._choose_entry(wanted)
+            entry = self._choose_entry(wanted, now)
             if entry is not None:
                 self._send(wanted, entry, now)
 
@@ -72,7 +83,9 @@
         self._open[wanted.step] = OpenRequest(wanted, entry, deadline)
         entry.send(wire.AdviceRequest(wanted.step, wanted.targets))
 
-    def _choose_entry(self, wanted: effect.AskAdvice) -> link.Link | None:
+    def _choose_entry(
+        self, wanted: effect.AskAdvice, now: int
+    ) -> link.Link | None:
         entries = [
             candidate
             for candidate in self._links.open.values()
@@ -89,7 +102,13 @@
         )
         if len(free) <= reserved:
             return None
-        return min(free, key=lambda candidate: candidate.process)
+        return min(
+            free,
+            key=lambda candidate: (
+                self._avoided_until.get(candidate.process, 0) > now,
+                candidate.process,
+            ),
+        )
 
     def _remove_expired(self, now: int) -> None:
         """Drop requests past their deadline; requeue those of closed links."""
@@ -99,12 +118,19 @@
             if not self._is_linked(asked.entry)
         }
         self._waiting = {**self._waiting, **lost}
+        for unanswered in self._open.values():
+            if unanswered.deadline <= now:
+                self._avoid(unanswered.entry, now)
         self._open = {
             step: asked
             for step, asked in self._open.items()
             if asked.deadline > now and self._is_linked(asked.entry)
         }
 
+    def _avoid(self, entry: link.Link, now: int) -> None:
+        """Use an entry after others; it may not reach the adviser."""
+        self._avoided_until[entry.process] = now + _AVOID_MS
+
     def _is_linked(self, entry: link.Link) -> bool:
         # A request is lost with its link, even if the entry links again.
         return self._links.open.get(entry.process) is entry
--- a/mulberrywalk/replica/advice_queue_test.py
+++ b/mulberrywalk/replica/advice_queue_test.py
@@ -4,6 +4,7 @@
 import pytest
 
 from ..core import effect, job
+from ..telemetry import clock
 from ..transport import wire
 from . import advice_queue, link
 
@@ -97,3 +98,33 @@
     links.open.pop('e0')
     requests.send_waiting()
     assert asked(links, 'e1') == ['a']
+
+
+def test_entry_that_leaves_a_request_unanswered_is_used_last(
+    links, requests, monkeypatch
+):
+    requests.add(wanted('a'))
+    assert asked(links, 'e0') == ['a']
+    later = clock.monotonic_ms() + 2000
+    monkeypatch.setattr(clock, 'monotonic_ms', lambda: later)
+    requests.add(wanted('a'))
+    assert asked(links, 'e1') == ['a']
+    requests.complete('a')
+    requests.add(wanted('a'))
+    assert asked(links, 'e1') == ['a']
+
+
+def test_entry_whose_request_failed_is_used_last(links, requests):
+    requests.add(wanted('a'))
+    assert asked(links, 'e0') == ['a']
+    requests.complete('a', has_failed=True)
+    requests.add(wanted('a'))
+    assert asked(links, 'e1') == ['a']
+
+
+def test_entry_that_failed_is_used_when_no_other_is_free(links, requests):
+    links.open = {'e0': links.open['e0']}
+    requests.add(wanted('a'))
+    requests.complete('a', has_failed=True)
+    requests.add(wanted('a'))
+    assert asked(links, 'e0') == ['a', 'a']
--- a/mulberrywalk/replica/message_handler.py
+++ b/mulberrywalk/replica/message_handler.py
@@ -84,7 +84,9 @@
     def _propose_advice(
         self, origin: link.Link, received: wire.AdviceResult
     ) -> None:
-        self._components.advice_requests.complete(received.step)
+        self._components.advice_requests.complete(
+            received.step, has_failed=not received.asked
+        )
         self._engine.propose(
             event.AdviceReceived(
                 self._engine.time(),
