End a start that its target ignores at the deadline of the start

Cause: only an answered stop, or a lease that has run out, proved that a start cannot run, and each look renews the lease.

Change: a start carries a deadline 1.5 s ahead on the target's clock instead of the end of the lease, which looks go on extending; a first start waits until an answered look has extended it. Repeated copies of one entry keep the deadline. Once a look has shown a later clock, a look sent after it proves that a start that it lists neither as running nor as ended cannot run any more. Starts of other entries end with a lease granted before the assignment, so an entry takes the proof at once for a session that no other entry has had, and otherwise a whole lease after the first look since its assignment. The leader believes it only under the latest assignment of the session, and then sends the start to no entry any more. Attempts from before a restart of the target are left out: their starts carry times of another clock. The end has a reason of its own, START_EXPIRED, so that the target counts as unsteady like one that refuses a start. The entry also sends a stop, and logs "expired start has run" should a look ever show such a run.

Ruled out: the end of the lease as the deadline of a start, which is 5.4 s ahead; the first look after the clock has passed the deadline as the proof, because its lists might be older than its clock; a proof by the entry alone, because a frozen entry that had the target before may still send the start.

Not shown by any run: that the users' targets refuse a start whose own deadline has passed while their lease is longer. PROTOCOL.md lists `late` without saying so; the stand-in does it.

Tests changed: three of polled_test.py wait for the start to be sent, up to 5 s, instead of sleeping 0.05 s; what they assert is the same.

--- a/mulberrywalk/core/confirmation_test.py
+++ b/mulberrywalk/core/confirmation_test.py
@@ -100,11 +100,13 @@
     assert stopped_attempts(cell.dispatch(1)) == [attempt.attempt]
 
 
-@pytest.mark.parametrize('reason', ['unconfirmed', 'refused'])
+@pytest.mark.parametrize('reason', ['unconfirmed', 'refused', 'expired'])
 def test_target_that_fails_to_start_attempts_is_used_last(reason):
     cell = lasting_cell()
     first = cell_test.only(cell.tables.attempts.values())
     end = job.EndReason.REFUSED
+    if reason == 'expired':
+        end = job.EndReason.START_EXPIRED
     if reason == 'unconfirmed':
         cell.dispatch(confirmation.START_TIMEOUT_MS)
         end = job.EndReason.NEVER_STARTED
--- a/mulberrywalk/core/job.py
+++ b/mulberrywalk/core/job.py
@@ -108,10 +108,14 @@
     GANG_INCOMPLETE = 'gang_incomplete'
     # The target reported itself unhealthy and refused the start.
     REFUSED = 'refused'
+    # The target did not execute the start before the deadline of the start.
+    START_EXPIRED = 'start_expired'
 
 
 # End reasons of attempts that never ran.
-NEVER_RAN_REASONS = frozenset((EndReason.NEVER_STARTED, EndReason.REFUSED))
+NEVER_RAN_REASONS = frozenset(
+    (EndReason.NEVER_STARTED, EndReason.REFUSED, EndReason.START_EXPIRED)
+)
 
 
 class StopReason(enum.StrEnum):
--- a/mulberrywalk/core/lifecycle.py
+++ b/mulberrywalk/core/lifecycle.py
@@ -313,8 +313,9 @@
     Only an end without a start counts: a refusal, or a start not confirmed.
     """
     is_unconfirmed = attempt.stopping is job.StopReason.UNCONFIRMED
-    is_unstarted = reason is job.EndReason.NEVER_STARTED and is_unconfirmed
-    return is_unstarted or reason is job.EndReason.REFUSED
+    if reason is job.EndReason.NEVER_STARTED:
+        return is_unconfirmed
+    return reason in {job.EndReason.REFUSED, job.EndReason.START_EXPIRED}
 
 
 def _may_retry(specification: job.Specification, reason: job.EndReason) -> bool:
--- a/mulberrywalk/entry/polled.py
+++ b/mulberrywalk/entry/polled.py
@@ -12,14 +12,19 @@
 import anyio
 from anyio.abc import TaskGroup
 
-from ..core import event, identity
+from ..core import event, identity, job
 from ..telemetry import clock, journal
 from ..transport import wire
-from . import filler, reporting, session, target_client, upstream
+from . import (
+    filler,
+    reporting,
+    session,
+    start_deadline,
+    target_client,
+    upstream,
+)
 
 _MS_PER_S = 1000
-# A start is sent only if at least this much of the lease remains.
-_MIN_LEASE_MS = 300
 _POLL_WAIT_MS = 500
 _IDLE_POLL_WAIT_MS = 1000
 # Calls made for one command that gets no reply; then the leader resends it.
@@ -66,7 +71,8 @@
         self._event_log = event_log
         self._lease = target_client.Lease(assigned.lease_ms)
         self._term = assigned.term
-        self._lease_granted = anyio.Event()
+        self._lease_held = anyio.Event()
+        self._start_deadlines = start_deadline.StartDeadlines(self._lease)
         self._committed = anyio.Event()
         self._call_limit = anyio.CapacityLimiter(_MAX_CONCURRENT_CALLS)
         self._group: TaskGroup | None = None
@@ -89,6 +95,7 @@
         self.assigned = assigned
         self._term = assigned.term
         self._pacer = filler.FillerPacer(assigned.shares)
+        self._start_deadlines.reset_others()
         self._reports.reset_reports()
 
     async def run(self) -> None:
@@ -114,10 +121,14 @@
         self._term = commands.term
         for start in commands.start:
             self._pacer.add(start)
+            self._start_deadlines.add_start(start.attempt)
             self._group.start_soon(self._start, start, commands.term)
         for stop in commands.stop:
+            self._start_deadlines.add_stop(stop.attempt)
             self._group.start_soon(self._stop, stop.attempt, commands.term)
         self._reports.ends.acknowledge(commands.acknowledge)
+        for acknowledged in commands.acknowledge:
+            self._start_deadlines.remove(acknowledged)
         if commands.acknowledge and self._reports.ends.is_acknowledged():
             self._committed.set()
 
@@ -126,7 +137,6 @@
         self._lease.granted_from = max(
             sequence, self._lease.granted_from or sequence
         )
-        self._lease_granted.set()
 
     def end(self) -> None:
         """End the session and cancel its calls."""
@@ -149,13 +159,11 @@
             wait_ms = self._next_wait()
 
     def _next_wait(self) -> int:
-        if self._lease.granted_from is None:
+        if not self._lease.is_held:
             return 0
-        if self._pacer.is_idle():
-            return _IDLE_POLL_WAIT_MS
-        return (
-            _PACED_POLL_WAIT_MS if self._pacer.has_filler() else _POLL_WAIT_MS
-        )
+        wait_ms = _usual_wait_ms(self._pacer)
+        expiry_ms = self._start_deadlines.wait_ms(clock.monotonic_ms())
+        return wait_ms if expiry_ms is None else min(wait_ms, expiry_ms)
 
     async def _wait_for_commit(self) -> None:
         """Wait for the listed ends to be committed, up to a timeout."""
@@ -166,6 +174,8 @@
 
     async def _poll(self, wait_ms: int) -> bool:
         barred = self._reports.snapshot_barred()
+        expired = self._start_deadlines.find_expired()
+        assigned = self.assigned
         sent_at = clock.monotonic_ms()
         request = target_client.PollRequest(
             self._term,
@@ -188,8 +198,16 @@
             )
             return False
         self._lease.sample_clock(poll_result.clock_ms, clock.monotonic_ms())
+        if request.lease_until_ms is not None:
+            self._lease.is_held = True
+            self._lease_held.set()
+        if assigned is self.assigned:
+            self._start_deadlines.update_others(
+                poll_result.clock_ms, is_first=assigned.is_first
+            )
         self._sessions.request_renewal(self.assigned.session, sent_at)
         self._report(poll_result, barred)
+        self._report_expired(expired, poll_result, assigned)
         self._update_pace(poll_result)
         return True
 
@@ -207,20 +225,56 @@
             self._pacer.remove(ended.attempt)
         self._leader.send(report)
 
+    def _report_expired(
+        self,
+        expired: frozenset[identity.AttemptId],
+        poll_result: target_client.PollResult,
+        assigned: wire.Assignment,
+    ) -> None:
+        """Report expired starts that a poll sent since then does not show.
+
+        A stop is sent as well, which bars them at a target that executes it.
+        """
+        for attempt in self._start_deadlines.find_contradictions(poll_result):
+            self._log('expired start has run', attempt)
+        absent = self._start_deadlines.take_absent(expired, poll_result)
+        now = clock.monotonic_ms()
+        if not absent or self._group is None:
+            return
+        for attempt in absent:
+            self._log('start expired', attempt)
+            self._pacer.remove(attempt)
+            self._group.start_soon(
+                self._client.stop, self._destination, attempt, self._term
+            )
+        self._leader.send(
+            wire.Report(
+                assigned.session,
+                expired=tuple(
+                    event.AttemptEnd(one, job.EndReason.START_EXPIRED, now)
+                    for one in absent
+                ),
+                assignment=(assigned.term, assigned.number),
+            )
+        )
+
     async def _start(self, command: wire.StartCommand, term: int) -> None:
         with anyio.move_on_after(_FIRST_LEASE_TIMEOUT_S):
-            await self._lease_granted.wait()
+            await self._lease_held.wait()
         call_result = target_client.CallResult.NO_REPLY
         for _ in range(_MAX_TRIES):
-            lease_until_ms = self._lease.expires_at()
-            lease_left_ms = self._lease.remaining_ms(clock.monotonic_ms())
-            if lease_until_ms is None or lease_left_ms < _MIN_LEASE_MS:
-                # The leader resends the start.
-                self._log('start delayed: no valid lease', command.attempt)
-                return
             async with self._call_limit:
+                deadline_ms = self._start_deadlines.next_deadline(
+                    command.attempt, clock.monotonic_ms()
+                )
+                if deadline_ms is None:
+                    self._log(
+                        'start not sent: no valid lease or deadline',
+                        command.attempt,
+                    )
+                    return
                 call_result = await self._client.start(
-                    self._destination, command, lease_until_ms, term
+                    self._destination, command, deadline_ms, term
                 )
             self._log(f'start: {call_result.value}', command.attempt)
             if call_result is not target_client.CallResult.NO_REPLY:
@@ -242,6 +296,7 @@
 
     def _confirm(self, attempt: identity.AttemptId) -> None:
         self._reports.confirm(attempt)
+        self._start_deadlines.remove(attempt)
         started = event.AttemptStart(attempt, clock.monotonic_ms())
         self._leader.send(
             wire.Report(self.assigned.session, started=(started,))
@@ -282,6 +337,7 @@
         self, attempt: identity.AttemptId, call_result: target_client.CallResult
     ) -> None:
         """Poll soon to check that the attempt is not on the target."""
+        self._start_deadlines.remove(attempt)
         is_first = self._reports.add_barred(attempt, call_result)
         if is_first and self._group is not None:
             self._group.start_soon(self._poll_soon)
@@ -374,6 +430,12 @@
             polled_session.end()
 
 
+def _usual_wait_ms(pacer: filler.FillerPacer) -> int:
+    if pacer.is_idle():
+        return _IDLE_POLL_WAIT_MS
+    return _PACED_POLL_WAIT_MS if pacer.has_filler() else _POLL_WAIT_MS
+
+
 def _find_cause(error: BaseException) -> BaseException:
     """Return the first leaf exception of nested exception groups."""
     while isinstance(error, BaseExceptionGroup):
--- a/mulberrywalk/entry/polled_test.py
+++ b/mulberrywalk/entry/polled_test.py
@@ -7,7 +7,7 @@
 from ..core import event, identity, job
 from ..telemetry import clock, cost, journal
 from ..transport import wire
-from . import polled, session, target_client, upstream
+from . import polled, session, start_deadline, target_client, upstream
 
 TARGET = identity.TargetId('t1')
 SESSION = identity.SessionId('s1')
@@ -60,8 +60,8 @@
             tuple(ended),
         )
 
-    async def start(self, destination, command, lease_until_ms, term):
-        self.starts.append((command.attempt, lease_until_ms, term))
+    async def start(self, destination, command, deadline_ms, term):
+        self.starts.append((command.attempt, deadline_ms, term))
         return self.start_result
 
     async def stop(self, destination, attempt, term):
@@ -117,6 +117,12 @@
     )
 
 
+async def wait_for_starts(target):
+    with anyio.fail_after(5):
+        while not target.starts:
+            await anyio.sleep(0.001)
+
+
 def run_session(target, scenario, **overrides):
     """Run a session against a target while the scenario drives it."""
     leader = FakeLeader()
@@ -199,13 +205,14 @@
         polled_session.command(
             wire.Commands(SESSION, start=(command(FIRST),), term=7)
         )
+        await wait_for_starts(target)
         await anyio.sleep(0.05)
 
     leader = run_session(target, scenario)
-    attempt, lease_until_ms, term = single(target.starts)
+    attempt, deadline_ms, term = single(target.starts)
     assert (attempt, term) == (FIRST, 7)
     # The fake uses the clock of this process, so the times are comparable.
-    assert asked_at[0] < lease_until_ms <= asked_at[0] + assignment().lease_ms
+    assert asked_at[0] < deadline_ms <= asked_at[0] + assignment().lease_ms
     assert [one.attempt for one in leader.reports('started')] == [FIRST]
 
 
@@ -228,8 +235,7 @@
             await anyio.sleep(0.05)
             assert not target.starts
             polled_session.renew(clock.monotonic_ms())
-            await anyio.sleep(0.05)
-            assert target.starts
+            await wait_for_starts(target)
             polled_session.end()
 
     anyio.run(run)
@@ -292,6 +298,7 @@
         polled_session.command(
             wire.Commands(SESSION, start=(command(FIRST),), term=7)
         )
+        await wait_for_starts(target)
         await anyio.sleep(0.05)
 
     run_session(target, scenario)
@@ -521,3 +528,135 @@
 
     run_targets(target, scenario)
     assert not target.poll_requests
+
+
+class IgnoringTarget(FakeTarget):
+    """Answers polls and executes neither starts nor stops."""
+
+    def __init__(self):
+        super().__init__()
+        self.start_result = target_client.CallResult.NO_REPLY
+
+    async def stop(self, destination, attempt, term):
+        self.stops.append(attempt)
+        return target_client.CallResult.NO_REPLY
+
+
+def send_start(polled_session, term=7):
+    polled_session.command(
+        wire.Commands(SESSION, start=(command(FIRST),), term=term)
+    )
+
+
+async def wait_for_expiry(leader, count=1):
+    with anyio.fail_after(10):
+        while len(leader.reports('expired')) < count:
+            await anyio.sleep(0.01)
+
+
+def test_start_that_is_not_executed_is_proved_not_to_run_at_its_deadline():
+    target = IgnoringTarget()
+    sent_at = []
+
+    async def scenario(polled_session, leader):
+        sent_at.append(clock.monotonic_ms())
+        send_start(polled_session)
+        await wait_for_expiry(leader)
+        await anyio.sleep(0.05)
+
+    leader = run_session(target, scenario, is_first=True, number=4)
+    ended = single(leader.reports('expired'))
+    assert (ended.attempt, ended.reason) == (
+        FIRST,
+        job.EndReason.START_EXPIRED,
+    )
+    assert ended.at - sent_at[0] > start_deadline.START_WINDOW_MS
+    deadlines = {deadline_ms for _, deadline_ms, _ in target.starts}
+    assert max(deadlines) < ended.at
+    reports = [one for one in leader.sent if isinstance(one, wire.Report)]
+    report = single([one for one in reports if one.expired])
+    assert report.assignment == (7, 4)
+
+
+def test_resent_start_does_not_postpone_the_proof():
+    target = IgnoringTarget()
+
+    async def scenario(polled_session, leader):
+        await anyio.sleep(0.05)
+        for _ in range(8):
+            send_start(polled_session)
+            await anyio.sleep(0.2)
+        await wait_for_expiry(leader)
+        send_start(polled_session)
+        await wait_for_expiry(leader, 2)
+
+    leader = run_session(target, scenario, is_first=True)
+    assert {one.attempt for one in leader.reports('expired')} == {FIRST}
+    assert len({deadline_ms for _, deadline_ms, _ in target.starts}) == 1
+
+
+def test_start_that_is_executed_late_but_before_its_deadline_is_kept():
+    target = IgnoringTarget()
+
+    async def scenario(polled_session, leader):
+        send_start(polled_session)
+        await anyio.sleep(1.3)
+        target.running = [target_client.RunningAttempt(FIRST, '', 0)]
+        await anyio.sleep(1)
+
+    leader = run_session(target, scenario, is_first=True)
+    assert not leader.reports('expired')
+    assert [one.attempt for one in leader.reports('started')] == [FIRST]
+
+
+def test_end_of_a_start_without_a_reply_is_not_taken_for_no_start():
+    target = IgnoringTarget()
+
+    async def scenario(polled_session, leader):
+        send_start(polled_session)
+        await anyio.sleep(0.1)
+        target.ended = [
+            target_client.EndedAttempt(1, FIRST, job.EndReason.FAILED, '')
+        ]
+        await anyio.sleep(2)
+
+    leader = run_session(target, scenario, is_first=True)
+    assert not leader.reports('expired')
+
+
+def test_no_start_is_proved_while_another_entry_may_have_sent_copies():
+    target = IgnoringTarget()
+
+    async def scenario(polled_session, leader):
+        send_start(polled_session)
+        await anyio.sleep(1.8)
+
+    leader = run_session(target, scenario, is_first=False)
+    assert not leader.reports('expired')
+
+
+def test_stop_that_is_ignored_does_not_hold_an_attempt_without_a_start():
+    target = IgnoringTarget()
+
+    async def scenario(polled_session, leader):
+        stop = wire.StopCommand(FIRST, is_checkpointed=False)
+        polled_session.command(wire.Commands(SESSION, stop=(stop,), term=7))
+        await wait_for_expiry(leader)
+
+    leader = run_session(target, scenario, is_first=True)
+    assert not target.starts
+    assert single(leader.reports('expired')).attempt == FIRST
+
+
+def test_start_waits_until_a_fresh_target_holds_a_lease():
+    target = FakeTarget()
+
+    async def scenario(polled_session, leader):
+        send_start(polled_session)
+        await wait_for_starts(target)
+
+    run_session(target, scenario, is_first=True)
+    leases = [one.lease_until_ms for one in target.poll_requests]
+    # The lease outlasts the deadline, which therefore ends no run.
+    held_until_ms = max(one for one in leases if one is not None)
+    assert held_until_ms > target.starts[0][1]
--- a/mulberrywalk/entry/reporting.py
+++ b/mulberrywalk/entry/reporting.py
@@ -104,8 +104,7 @@
         now: int,
     ) -> list[event.AttemptEnd]:
         """Return the ends of barred attempts that the poll does not show."""
-        present = {one.attempt for one in poll_result.running}
-        present.update(one.attempt for one in poll_result.ended)
+        present = poll_result.attempts()
         # A concurrent poll may already have reported some of them.
         absent = [
             one for one in barred if one in self._barred and one not in present
--- a/mulberrywalk/entry/target_client.py
+++ b/mulberrywalk/entry/target_client.py
@@ -69,13 +69,20 @@
 class PollResult:
     """The result of a poll; clock_ms is a reading of the target's clock.
 
-    born_at identifies the incarnation of the target.
+    born_at identifies the incarnation of the target. If not is_complete, more
+    attempts have ended than the target lists at a time.
     """
 
     clock_ms: int
     born_at: int
     running: tuple[RunningAttempt, ...]
     ended: tuple[EndedAttempt, ...]
+    is_complete: bool = True
+
+    def attempts(self) -> set[identity.AttemptId]:
+        """Return the attempts that run or have ended."""
+        running = {one.attempt for one in self.running}
+        return running.union(one.attempt for one in self.ended)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -108,12 +115,13 @@
         self,
         destination: Destination,
         command: wire.StartCommand,
-        lease_until_ms: int,
+        deadline_ms: int,
         term: int,
     ) -> CallResult:
-        """Start an attempt, with a lease that ends at lease_until_ms.
+        """Start an attempt, unless the call arrives after deadline_ms.
 
-        lease_until_ms is a time on the target's clock.
+        deadline_ms is a time on the target's clock. It also extends the lease,
+        and never shortens it.
         """
 
     @abc.abstractmethod
@@ -144,6 +152,8 @@
     """
 
     duration_ms: int
+    # Whether the target has answered a poll that extended its lease.
+    is_held: bool = False
     clock_sample_ms: int | None = None
     sampled_at: int = 0
     granted_from: int | None = None
@@ -153,6 +163,19 @@
         self.clock_sample_ms = clock_ms
         self.sampled_at = received_at
 
+    def clock_at(self, now: int) -> int | None:
+        """Return the least that the target's clock shows, None if unknown."""
+        if self.clock_sample_ms is None:
+            return None
+        kept_percent = _FULL_PERCENT - _CLOCK_DRIFT_PERCENT
+        elapsed_ms = max(0, now - self.sampled_at)
+        return self.clock_sample_ms + elapsed_ms * kept_percent // _FULL_PERCENT
+
+    def longest_ms(self) -> int:
+        """Return the length of a lease by a target's clock, at most."""
+        most_percent = _FULL_PERCENT + _CLOCK_DRIFT_PERCENT
+        return self.duration_ms * most_percent // _FULL_PERCENT
+
     def expires_at(self) -> int | None:
         """Return the lease end in ms on the target's clock, None if unknown.
 
--- a/mulberrywalk/platform/worker_client.py
+++ b/mulberrywalk/platform/worker_client.py
@@ -184,16 +184,16 @@
         self,
         destination: target_client.Destination,
         command: messages.StartCommand,
-        lease_until_ms: int,
+        deadline_ms: int,
         term: int,
     ) -> target_client.CallResult:
-        """Start an attempt, with a lease that ends at lease_until_ms.
+        """Start an attempt, unless the call arrives after deadline_ms.
 
-        lease_until_ms is a time on the worker's clock.
+        deadline_ms is a time on the worker's clock.
         """
         body = _command_body(command.attempt, term)
         body['spec'] = command.payload
-        body['deadlineMs'] = lease_until_ms
+        body['deadlineMs'] = deadline_ms
         if command.checkpoint:
             body['checkpoint'] = command.checkpoint
         if command.ticket:
--- a/mulberrywalk/replica/assignment.py
+++ b/mulberrywalk/replica/assignment.py
@@ -47,7 +47,12 @@
         self._delivery = command_delivery
         self._journal = logger
         self._assigned_at: dict[identity.SessionId, int] = {}
-        self._unclaimed = set(replica_engine.tables.sessions)
+        # The number of the latest assignment of each session in this term.
+        self._numbers: dict[identity.SessionId, int] = {}
+        self._last_number = 0
+        # Sessions that entries had in earlier terms.
+        self._inherited = frozenset(replica_engine.tables.sessions)
+        self._unclaimed = set(self._inherited)
         self._claims_end_at = now + CLAIM_GRACE_MS
         # Entries that failed to reach a target, and until when to avoid them.
         self._avoided_until: dict[str, int] = {}
@@ -106,6 +111,8 @@
             for name, assigned_at in self._assigned_at.items()
             if name in sessions
         }
+        for name in self._numbers.keys() - sessions.keys():
+            self._numbers.pop(name)
         counts = self.count_by_entry()
         given: collections.Counter[str] = collections.Counter()
         for session in list(sessions.values()):
@@ -135,6 +142,16 @@
             return True
         return self._leases.entry_of(session) == entry
 
+    def is_current(
+        self, session: identity.SessionId, entry: str, number: tuple[int, int]
+    ) -> bool:
+        """Return whether the latest assignment is the given one.
+
+        number is the leader's term and the number within the term.
+        """
+        latest = self._engine.node.term, self._numbers.get(session, 0)
+        return number == latest and self._leases.entry_of(session) == entry
+
     def _await_claims(self, now: int) -> None:
         """Unassign all sessions; entries may claim them when they reconnect."""
         self._unclaimed.update(self._assigned_at)
@@ -181,7 +198,13 @@
         if before != entry.process:
             self._links.send(before, wire.EndedSessions((session.session,)))
         self._leases.assign(session.session, entry.process)
-        entry.send(self._assignment_message(session))
+        is_first = not (
+            session.session in self._inherited
+            or session.session in self._numbers
+        )
+        self._last_number += 1
+        self._numbers[session.session] = self._last_number
+        entry.send(self._assignment_message(session, is_first=is_first))
         self._delivery.resend_session(session.session, now)
 
     def _move_from_overloaded(
@@ -252,7 +275,9 @@
             default=None,
         )
 
-    def _assignment_message(self, session: target.Session) -> wire.Assignment:
+    def _assignment_message(
+        self, session: target.Session, *, is_first: bool
+    ) -> wire.Assignment:
         tables = self._engine.tables
         record = tables.targets[session.target]
         attempts = (
@@ -279,4 +304,6 @@
                 )
                 for command in commands
             ),
+            number=self._numbers[session.session],
+            is_first=is_first,
         )
--- a/mulberrywalk/replica/assignment_test.py
+++ b/mulberrywalk/replica/assignment_test.py
@@ -280,3 +280,45 @@
             scene.assignments.accept_claim(session, scene.entries[number], 800)
         scene.rebalance(800 + 100 * number)
         assert max(scene.counts().values()) <= 6, scene.counts()
+
+
+def test_only_a_new_session_counts_as_without_starts_of_other_entries():
+    scene = Scene('dc0', 'dc0')
+    first = scene.rebalance()
+    inherited = cell_test.only(scene.assigned(int(first[1:])))
+    assert not inherited.is_first
+    scene.engine.open_session(1)
+    scene.rebalance(700)
+    messages = scene.assigned(0) + scene.assigned(1)
+    assert [one.is_first for one in messages] == [True]
+    scene.rebalance(4000)
+    messages = scene.assigned(0) + scene.assigned(1)
+    assert len(messages) == 2
+    assert not any(one.is_first for one in messages)
+
+
+def current_number(scene, entry):
+    message = scene.assigned(int(entry[1:]))[-1]
+    return message.term, message.number
+
+
+def test_assignment_is_no_longer_current_after_a_reassignment():
+    scene = Scene('dc0', 'dc0')
+    session = scene.engine.session
+    first = scene.rebalance()
+    number = current_number(scene, first)
+    assert scene.assignments.is_current(session, first, number)
+    other = scene.rebalance(4000)
+    assert not scene.assignments.is_current(session, first, number)
+    assert not scene.assignments.is_current(session, other, number)
+    # The target returns to the first entry, which may not know of the other.
+    assert scene.rebalance(8000) == first
+    assert not scene.assignments.is_current(session, first, number)
+
+
+def test_assignment_of_an_earlier_term_is_not_current():
+    scene = Scene('dc0')
+    first = scene.rebalance()
+    number = current_number(scene, first)
+    scene.engine.node.term += 1
+    assert not scene.assignments.is_current(scene.engine.session, first, number)
--- a/mulberrywalk/replica/delivery.py
+++ b/mulberrywalk/replica/delivery.py
@@ -34,6 +34,27 @@
             for attempt in replica_engine.tables.attempts.values()
             if is_unconfirmed(attempt)
         }
+        # Attempts that can no longer start, until their end is committed.
+        self._expired: set[identity.AttemptId] = set()
+
+    def expire(
+        self, session: identity.SessionId, name: identity.AttemptId
+    ) -> bool:
+        """Never send the start of an attempt of a session again.
+
+        Another entry would send it with a new deadline. Returns whether all
+        its starts were sent to the target of this session: a target that was
+        restarted may receive starts sent to its earlier incarnation, whose
+        clock was another one.
+        """
+        tables = self._engine.tables
+        attempt = tables.attempts.get(name)
+        if attempt is None or attempt.session != session:
+            return False
+        if attempt.placed_at <= tables.sessions[session].opened_at:
+            return False
+        self._expired.add(name)
+        return True
 
     def start(self, attempt: job.Attempt, now: int) -> None:
         """Send the command that starts a placed attempt."""
@@ -61,6 +82,7 @@
             attempt = self._engine.tables.attempts.get(name)
             if attempt is None or not is_unconfirmed(attempt):
                 self._sent_at.pop(name)
+                self._expired.discard(name)
             elif now - sent_at >= RESEND_INTERVAL_MS:
                 self._resend(attempt, now)
 
@@ -73,10 +95,10 @@
                 self._resend(attempt, now)
 
     def _resend(self, attempt: job.Attempt, now: int) -> None:
-        if attempt.stopping is None:
-            self.start(attempt, now)
-        else:
+        if attempt.stopping is not None:
             self.stop(attempt, now)
+        elif attempt.attempt not in self._expired:
+            self.start(attempt, now)
 
     def _send(self, commands: wire.Commands) -> None:
         with_term = msgspec.structs.replace(
--- a/mulberrywalk/replica/message_handler.py
+++ b/mulberrywalk/replica/message_handler.py
@@ -172,8 +172,29 @@
                 wire.Commands(received.session, stop=stop_commands, term=term)
             )
 
+    def _accept_expired(
+        self, origin: link.Link, received: wire.Report
+    ) -> tuple[event.AttemptEnd, ...]:
+        """Return the ends of expired starts if no other entry sends starts.
+
+        The entry knows only the starts that were sent until the target was
+        assigned to it, and its own.
+        """
+        is_current = self._components.assignments.is_current(
+            received.session, origin.process, received.assignment
+        )
+        if not is_current:
+            return ()
+        command_delivery = self._components.delivery
+        return tuple(
+            ended
+            for ended in received.expired
+            if command_delivery.expire(received.session, ended.attempt)
+        )
+
     def _propose_report(self, origin: link.Link, received: wire.Report) -> None:
         self._stop_unknown_attempts(origin, received)
+        expired = self._accept_expired(origin, received)
 
         def notify(event_outcome: outcome.Outcome | None) -> None:
             if isinstance(event_outcome, outcome.NotRun):
@@ -184,7 +205,7 @@
                 self._engine.time(),
                 received.session,
                 received.started,
-                received.ended,
+                (*received.ended, *expired),
                 received.usage,
                 received.saved,
             ),
--- /dev/null
+++ b/mulberrywalk/replica/message_handler_test.py
@@ -0,0 +1,68 @@
+"""Reports of entries: which of them the leader believes."""
+
+import pytest
+
+from ..core import event, job
+from ..transport import wire
+from . import assignment, assignment_test, message_handler
+
+
+class Components:
+    """Stands in for the parts of a leader that handle reports."""
+
+    def __init__(self, scene):
+        self.assignments = scene.assignments
+        self.delivery = self
+        self.is_accepted = True
+
+    def expire(self, session, name):
+        return self.is_accepted
+
+
+class Scene(assignment_test.Scene):
+    """A leader with two entries that report expired starts."""
+
+    def __init__(self):
+        super().__init__('dc0', 'dc0')
+        self.proposed = []
+        self.engine.propose = self.propose
+        self.engine.time = int
+        self.components = Components(self)
+        self.receiver = message_handler.MessageHandler(
+            self.engine, self.components
+        )
+
+    def propose(self, proposed, notify):
+        self.proposed.append(proposed)
+
+    def report(self, entry, number):
+        ended = event.AttemptEnd('j.0.0.0/1', job.EndReason.START_EXPIRED, 5)
+        received = wire.Report(
+            self.engine.session, expired=(ended,), assignment=number
+        )
+        self.receiver.receive(entry, received)
+        return len(self.proposed[-1].ended)
+
+
+def test_expired_start_is_believed_of_the_assigned_entry_only():
+    scene = Scene()
+    first, second = scene.entries
+    scene.rebalance(assignment.CLAIM_GRACE_MS)
+    message = scene.assigned(0)[0]
+    number = (message.term, message.number)
+    earlier = (message.term - 1, message.number)
+    assert scene.report(first, number) == 1
+    assert scene.report(second, number) == 0
+    assert scene.report(first, earlier) == 0
+    scene.rebalance(4000)
+    assert scene.report(first, number) == 0
+
+
+@pytest.mark.parametrize('is_accepted', [True, False])
+def test_expired_start_counts_only_if_it_is_not_sent_again(is_accepted):
+    scene = Scene()
+    scene.components.is_accepted = is_accepted
+    scene.rebalance(assignment.CLAIM_GRACE_MS)
+    message = scene.assigned(0)[0]
+    number = (message.term, message.number)
+    assert scene.report(scene.entries[0], number) == int(is_accepted)
--- a/mulberrywalk/transport/wire.py
+++ b/mulberrywalk/transport/wire.py
@@ -117,13 +117,20 @@
 
 
 class Report(msgspec.Struct, frozen=True, tag=True):
-    """Starts, ends, usage and checkpoints that a target reports."""
+    """Starts, ends, usage and checkpoints that a target reports.
+
+    expired holds attempts that can no longer start, as all copies of their
+    starts have expired. It is valid only while the assignment with the given
+    term and number is the current one of the session.
+    """
 
     session: identity.SessionId
     started: tuple[event.AttemptStart, ...] = ()
     ended: tuple[event.AttemptEnd, ...] = ()
     usage: tuple[event.AttemptUsage, ...] = ()
     saved: tuple[event.AttemptCheckpoint, ...] = ()
+    expired: tuple[event.AttemptEnd, ...] = ()
+    assignment: tuple[int, int] = (0, 0)
 
 
 class Departure(msgspec.Struct, frozen=True, tag=True):
@@ -235,7 +242,8 @@
 
     born_at identifies the incarnation of the target that the session belongs
     to. term is the leader's; it fences off commands from earlier leaders.
-    shares lists the live attempts.
+    shares lists the live attempts. number increases with each assignment in a
+    term; with is_first no other entry has had the session.
     """
 
     session: identity.SessionId
@@ -245,6 +253,8 @@
     term: int
     lease_ms: int
     shares: tuple[AttemptSharing, ...] = ()
+    number: int = 0
+    is_first: bool = False
 
 
 class AdviceRequest(msgspec.Struct, frozen=True, tag='AdviceWanted'):
--- a/tests/platform_test.py
+++ b/tests/platform_test.py
@@ -587,6 +587,28 @@
     )
 
 
+def test_start_past_its_deadline_is_rejected(slow_cluster):
+    name = '00000000000000fe'
+    for delayed in slow_cluster.workers:
+        delayed.starts_to_delay = 1000
+        delayed.stops_to_ignore = 1000
+
+    def find_rejected():
+        return [
+            one
+            for one in slow_cluster.workers
+            if any(reason == 'late' for _, reason in one.rejected)
+        ]
+
+    slow_cluster.submit(name, count=1, longRunning=True)
+    slow_cluster.wait(find_rejected, 'no start arrived after its deadline')
+    slow_cluster.wait_for_lines('start_expired', 1)
+    for delayed in slow_cluster.workers:
+        delayed.starts_to_delay = 0
+    slow_cluster.wait(slow_cluster.runs, 'the task was not started again', 20)
+    assert len(slow_cluster.runs()) == 1
+
+
 def test_new_leader_stops_no_running_task(tmp_path):
     cluster = PlatformCluster(tmp_path, run_s=60)
     replicas = cluster.processes[:REPLICAS]
