Check barred attempts again after an incomplete listing

What callers saw: nothing yet. An attempt that had run and ended could be reported as never started, when its target had more than 500 ends that were not yet acknowledged: a task that was done would run again (TWICE).

Cause: a listing holds 500 ends at a time, and an attempt missing from it was taken to be neither running nor ended.

Change: a listing of 500 ends counts as incomplete, proves nothing, and the attempts are checked against the next one.

Evidence: the new test of the session failed before (the attempt was reported as ended), and passes now.

Ruled out: that ends that are acknowledged could be missing; they are committed before, so that their attempts are gone.

--- a/mulberrywalk/entry/polled_test.py
+++ b/mulberrywalk/entry/polled_test.py
@@ -48,6 +48,7 @@
         self.paces = []
         self.start_result = target_client.CallResult.DONE
         self.born_at = BORN_AT
+        self.is_complete = True
 
     async def poll(self, destination, request):
         await anyio.sleep(0.002)
@@ -58,6 +59,7 @@
             self.born_at,
             tuple(self.running),
             tuple(ended),
+            self.is_complete,
         )
 
     async def start(self, destination, command, deadline_ms, term):
@@ -660,3 +662,21 @@
     # The lease outlasts the deadline, which therefore ends no run.
     held_until_ms = max(one for one in leases if one is not None)
     assert held_until_ms > target.starts[0][1]
+
+
+def test_barred_attempt_may_have_ended_beyond_an_incomplete_listing():
+    target = FakeTarget()
+    target.is_complete = False
+
+    async def scenario(polled_session, leader):
+        stop = wire.StopCommand(FIRST, is_checkpointed=False)
+        polled_session.command(wire.Commands(SESSION, stop=(stop,), term=7))
+        await anyio.sleep(0.3)
+        assert not leader.reports('ended')
+        target.is_complete = True
+        with anyio.fail_after(5):
+            while not leader.reports('ended'):
+                await anyio.sleep(0.01)
+
+    leader = run_session(target, scenario)
+    assert single(leader.reports('ended')).attempt == FIRST
--- a/mulberrywalk/entry/reporting.py
+++ b/mulberrywalk/entry/reporting.py
@@ -103,7 +103,12 @@
         barred: dict[identity.AttemptId, target_client.CallResult],
         now: int,
     ) -> list[event.AttemptEnd]:
-        """Return the ends of barred attempts that the poll does not show."""
+        """Return the ends of barred attempts that the poll does not show.
+
+        Attempts not listed by an incomplete poll result are checked again.
+        """
+        if not poll_result.is_complete:
+            return []
         present = poll_result.attempts()
         # A concurrent poll may already have reported some of them.
         absent = [
--- a/mulberrywalk/platform/wire.py
+++ b/mulberrywalk/platform/wire.py
@@ -14,6 +14,8 @@
 from . import bound
 
 _PERCENT = 100
+# A worker lists this many ends at a time.
+_MAX_LISTED_ENDS = 500
 _US_PER_MS = 1000
 _BYTES_PER_MIB = 1_048_576
 # Workers have no slots: other resources limit their tasks.
@@ -285,7 +287,11 @@
         running = tuple(_to_running_attempt(row) for row in decoded.running)
         ended = tuple(_to_ended_attempt(row) for row in decoded.finished)
         return target_client.PollResult(
-            int(decoded.clock_ms), decoded.born, running, ended
+            int(decoded.clock_ms),
+            decoded.born,
+            running,
+            ended,
+            is_complete=len(ended) < _MAX_LISTED_ENDS,
         )
 
 
--- a/mulberrywalk/platform/wire_test.py
+++ b/mulberrywalk/platform/wire_test.py
@@ -225,6 +225,15 @@
     ]
 
 
+@pytest.mark.parametrize(('ends', 'is_complete'), [(499, True), (500, False)])
+def test_listing_of_as_many_ends_as_fit_is_incomplete(ends, is_complete):
+    rows = [
+        [number, f'j.0.1.{number}', 1, 'done', ''] for number in range(ends)
+    ]
+    listing = {'clockMs': 1, 'born': 5, 'running': [], 'finished': rows}
+    assert wire.read_listing(encode_json(listing)).is_complete is is_complete
+
+
 @pytest.mark.parametrize(
     'body',
     [
