Keep a ticket that was granted after a failed start

What callers saw: a step of an advised queue had no ticket for an allowed target although the adviser had just granted one, and asked again for 0.6 s and more.

Cause: an attempt that never ran drops the ticket of its target, whichever it is. Its end may come seconds after its start, with a newer ticket by then.

Change: only the ticket that the attempt carried is dropped.

Evidence: test_late_end_of_a_start_keeps_a_ticket_granted_since failed before (no ticket left) and passes. The other tests of late_order_test.py passed at once; they tell what late, repeated and lost orders do to capacity, tickets and the task.

Ruled out: dropping no ticket after a start that was only late; a ticket that was refused has to go, and test_refused_ticket_is_dropped holds that.

--- a/mulberrywalk/core/workflow.py
+++ b/mulberrywalk/core/workflow.py
@@ -395,8 +395,11 @@
 def _drop_ticket(
     tables: state.State, step: job.Step, attempt: job.Attempt
 ) -> None:
+    """Drop the ticket of an attempt, but keep one granted since."""
     kept = tuple(
-        ticket for ticket in step.tickets if ticket.target != attempt.target
+        ticket
+        for ticket in step.tickets
+        if ticket.target != attempt.target or ticket.ticket != attempt.ticket
     )
     if len(kept) < len(step.tickets):
         tables.steps[step.step] = msgspec.structs.replace(step, tickets=kept)
