Use a target last that starts an attempt after its stop

What callers saw: a lasting task that a target had started too late, after 2.5 s, was stopped there and could be placed on the same target at once.

Cause: only an end without a start marked a target as unsteady. A start that was carried out after the stop ended as stopped, and nothing was held against its target.

Change: an attempt that was stopped as unconfirmed marks its target whether it ended as never started or as stopped.

Evidence: test_target_that_starts_after_the_stop_is_not_used_again_at_once failed before (placed on the same target again) and passes.

Ruled out: the task's own history, which counts no stops as failures; other reasons of a stop say nothing about the target.

--- a/mulberrywalk/core/late_order_test.py
+++ b/mulberrywalk/core/late_order_test.py
@@ -88,6 +88,14 @@
     assert scene.free(scene.first.target) == FULL_MILLICORES
 
 
+def test_target_that_starts_after_the_stop_is_not_used_again_at_once():
+    scene = Scene()
+    scene.stop_unconfirmed()
+    scene.cell.start(scene.first)
+    scene.cell.report(scene.first, job.EndReason.STOPPED)
+    assert scene.place_again().target != scene.first.target
+
+
 @pytest.mark.parametrize(
     'reason',
     [
--- a/mulberrywalk/core/lifecycle.py
+++ b/mulberrywalk/core/lifecycle.py
@@ -308,13 +308,13 @@
 
 
 def _is_target_at_fault(attempt: job.Attempt, reason: job.EndReason) -> bool:
-    """Return whether the target failed to carry out a start, whatever its task.
+    """Return whether the target failed to carry out a start in time.
 
-    Only an end without a start counts: a refusal, or a start not confirmed.
+    Whatever its task, a refusal counts, and so does a start that was stopped
+    because it was not confirmed, even if it was executed after the stop.
     """
-    is_unconfirmed = attempt.stopping is job.StopReason.UNCONFIRMED
-    if reason is job.EndReason.NEVER_STARTED:
-        return is_unconfirmed
+    if reason in {job.EndReason.NEVER_STARTED, job.EndReason.STOPPED}:
+        return attempt.stopping is job.StopReason.UNCONFIRMED
     return reason in {job.EndReason.REFUSED, job.EndReason.START_EXPIRED}
 
 
