Send no start after the stop of its attempt

What callers saw: a start that got no reply, or that waited for a lease, was sent after the stop of its attempt. At a target that had lost the stop it ran, held its capacity and was stopped only by a later copy of the stop.

Cause: the calls of a start and of a stop are tasks of their own, and the repeated calls of a start did not look at the stop.

Change: the deadlines of starts know the stopped attempts, and give none to them.

Ruled out: a leader that wants to start an attempt that it has stopped; a stop is sent once it is committed and is never taken back.

--- a/mulberrywalk/entry/start_deadline.py
+++ b/mulberrywalk/entry/start_deadline.py
@@ -39,6 +39,8 @@
         # The latest deadline sent for each attempt, None before the first.
         self._deadlines: dict[identity.AttemptId, int | None] = {}
         self._reported: set[identity.AttemptId] = set()
+        # Attempts whose start is not sent any more.
+        self._stopped: set[identity.AttemptId] = set()
         # All attempts that were returned as absent.
         self._proved: set[identity.AttemptId] = set()
         # When the starts of other entries have expired, None if unknown.
@@ -63,7 +65,11 @@
         self._reported.discard(attempt)
 
     def add_stop(self, attempt: identity.AttemptId) -> None:
-        """Track an attempt that the leader asks to stop."""
+        """Track an attempt that the leader asks to stop.
+
+        Its start is not sent again: it could arrive after the stop was lost.
+        """
+        self._stopped.add(attempt)
         sent = self._deadlines.get(attempt)
         self._deadlines[attempt] = _NOT_SENT if sent is None else sent
         self._reported.discard(attempt)
@@ -71,6 +77,7 @@
     def remove(self, attempt: identity.AttemptId) -> None:
         """Stop tracking an attempt that has started or ended."""
         self._deadlines.pop(attempt, None)
+        self._stopped.discard(attempt)
         self._reported.discard(attempt)
 
     def next_deadline(
@@ -86,7 +93,7 @@
         lease_until_ms = self._lease.expires_at()
         if clock_ms is None or lease_until_ms is None:
             return None
-        if attempt not in self._deadlines or not self._has_lease(now):
+        if not self._may_send(attempt) or not self._has_lease(now):
             return None
         latest = min(clock_ms + START_WINDOW_MS, lease_until_ms)
         sent = self._deadlines[attempt]
@@ -153,6 +160,9 @@
         ]
         return min(waits, default=None)
 
+    def _may_send(self, attempt: identity.AttemptId) -> bool:
+        return attempt in self._deadlines and attempt not in self._stopped
+
     def _has_lease(self, now: int) -> bool:
         lease = self._lease
         return lease.is_held and lease.remaining_ms(now) >= _MIN_LEASE_MS
