--- a/mulberrywalk/replica/message_handler_test.py
+++ b/mulberrywalk/replica/message_handler_test.py
@@ -1,8 +1,9 @@
 """Reports of entries: which of them the leader believes."""
 
+import anyio
 import pytest
 
-from ..core import event, job
+from ..core import cell_test, event, job
 from ..transport import wire
 from . import assignment, assignment_test, message_handler
 
@@ -66,3 +67,17 @@
     message = scene.assigned(0)[0]
     number = (message.term, message.number)
     assert scene.report(scene.entries[0], number) == int(is_accepted)
+
+
+def test_run_that_counts_as_ended_is_stopped_when_it_is_reported():
+    scene = Scene()
+    scene.rebalance(assignment.CLAIM_GRACE_MS)
+    origin = scene.entries[0]
+    anyio.run(origin.outbox.take, 0)
+    started = event.AttemptStart('j.0.0.0/1', 5)
+    scene.receiver.receive(
+        origin, wire.Report(scene.engine.session, started=(started,))
+    )
+    command = cell_test.only(anyio.run(origin.outbox.take, 0))
+    assert [one.attempt for one in command.stop] == ['j.0.0.0/1']
+    assert command.term == scene.engine.node.term
