Take no proof of expiry for a start that was confirmed

What callers saw: nothing. A report that a start can no longer run would also have ended an attempt whose start the target had confirmed.

Cause: the leader checked the assignment and the session, and not the attempt.

Change: such a proof is left aside; what was confirmed ends by a listed end, a stop or the lease.

Evidence: the new test failed before (the proof was taken), and passes.

--- a/mulberrywalk/replica/delivery.py
+++ b/mulberrywalk/replica/delivery.py
@@ -42,14 +42,14 @@
     ) -> bool:
         """Never send the start of an attempt of a session again.
 
-        Another entry would send it with a new deadline. Returns whether all
-        its starts were sent to the target of this session: a target that was
-        restarted may receive starts sent to its earlier incarnation, whose
-        clock was another one.
+        Another entry would send it with a new deadline. Returns whether the
+        start has not been confirmed, and was sent only to the target of this
+        session: a target that was restarted may receive starts sent to its
+        earlier incarnation, whose clock was another one.
         """
         tables = self._engine.tables
         attempt = tables.attempts.get(name)
-        if attempt is None or attempt.session != session:
+        if attempt is None or attempt.session != session or attempt.started_at:
             return False
         if attempt.placed_at <= tables.sessions[session].opened_at:
             return False
--- a/mulberrywalk/replica/delivery_test.py
+++ b/mulberrywalk/replica/delivery_test.py
@@ -99,3 +99,10 @@
     assert not scene.delivery.expire(attempt.session, 'j.0.0.9/1')
     scene.delivery.resend_overdue(20_000)
     assert scene.starts() == [attempt.attempt]
+
+
+def test_start_that_was_confirmed_does_not_expire():
+    scene = Scene()
+    attempt = scene.engine.attempt
+    scene.engine.cell.start(attempt)
+    assert not scene.delivery.expire(attempt.session, attempt.attempt)
