--- a/mulberrywalk/entry/polled_test.py
+++ b/mulberrywalk/entry/polled_test.py
@@ -652,13 +652,19 @@
 
 def test_start_waits_until_a_fresh_target_holds_a_lease():
     target = FakeTarget()
+    leases = []
+
+    async def start(destination, command, deadline_ms, term):
+        leases.extend(one.lease_until_ms for one in target.poll_requests)
+        target.starts.append((command.attempt, deadline_ms, term))
+        return target_client.CallResult.DONE
 
     async def scenario(polled_session, leader):
+        target.start = start
         send_start(polled_session)
         await wait_for_starts(target)
 
     run_session(target, scenario, is_first=True)
-    leases = [one.lease_until_ms for one in target.poll_requests]
     # The lease outlasts the deadline, which therefore ends no run.
     held_until_ms = max(one for one in leases if one is not None)
     assert held_until_ms > target.starts[0][1]
