Repeat a start until its deadline

What callers saw: work that started late while half of the orders got no answer.

Cause: an entry sent three copies of a start, 0.3 s each, and the leader's repetition came 1.5 s after the first. That is the deadline of a start now, so that no copy could follow the third.

Change: five copies fill the 1.5 s; stops keep three.

--- a/mulberrywalk/entry/polled.py
+++ b/mulberrywalk/entry/polled.py
@@ -27,8 +27,10 @@
 _MS_PER_S = 1000
 _POLL_WAIT_MS = 500
 _IDLE_POLL_WAIT_MS = 1000
-# Calls made for one command that gets no reply; then the leader resends it.
-_MAX_TRIES = 3
+# Calls made for one command that gets no reply; then the leader resends it. A
+# start is repeated until its deadline, after which no copy may be sent.
+_MAX_STOP_TRIES = 3
+_MAX_START_TRIES = 5
 _PACED_POLL_WAIT_MS = 400
 _FAILED_POLL_DELAY_S = 0.2
 _COMMIT_TIMEOUT_S = 0.3
@@ -262,7 +264,7 @@
         with anyio.move_on_after(_FIRST_LEASE_TIMEOUT_S):
             await self._lease_held.wait()
         call_result = target_client.CallResult.NO_REPLY
-        for _ in range(_MAX_TRIES):
+        for _ in range(_MAX_START_TRIES):
             async with self._call_limit:
                 deadline_ms = self._start_deadlines.next_deadline(
                     command.attempt, clock.monotonic_ms()
@@ -319,7 +321,7 @@
 
     async def _stop(self, attempt: identity.AttemptId, term: int) -> None:
         call_result = target_client.CallResult.NO_REPLY
-        for _ in range(_MAX_TRIES):
+        for _ in range(_MAX_STOP_TRIES):
             async with self._call_limit:
                 call_result = await self._client.stop(
                     self._destination, attempt, term
