Send the renewals that no leader has answered to the next one

Cause: an entry goes on calling its targets without a leader, and each answer is a request for renewal. These requests were dropped while no stream was open, so the new leader renewed nothing until a call that was sent before had returned and another one after it: up to 1.1 s after the link.

Evidence, a traced run beside a load of 24: replicas killed with 5.07 s of the lease left, the leader is elected after 4.19 s and has linked the entry after 4.33 s; the target hears of a new lease after 5.25 s, and its run has lapsed at 5.17 s. The target had answered at 4.17 s; the renewal of that answer would have come with the call that was sent to it at 4.71 s.

Ruled out for this run: the start of the processes, the election and the assignment, which took 4.33 s together, 2.2 s of them the test's own pause.

Change: a request is kept until it is answered, for a second at most, and sent again on the next stream on which a leader answers. A target that fell silent is not kept alive.

--- a/mulberrywalk/entry/session.py
+++ b/mulberrywalk/entry/session.py
@@ -3,14 +3,19 @@
 from __future__ import annotations
 
 import abc
+import dataclasses
 
 import anyio
 
 from ..core import identity
+from ..telemetry import clock
 from ..transport import wire
 from . import upstream
 
 _RENEWAL_INTERVAL_S = 0.1
+# How long a target counts as just heard after it has answered. Within this time
+# a request for renewal that reached no leader is sent to the next one.
+_MAX_REQUEST_AGE_MS = 1000
 
 
 class TargetSession(abc.ABC):
@@ -40,6 +45,18 @@
         """Let the target move to another entry, as this one is stopping."""
 
 
+@dataclasses.dataclass(slots=True)
+class _RenewalRequest:
+    """A request for renewal that no leader has answered yet.
+
+    link is the number of the stream on which it was last sent, -1 before.
+    """
+
+    sequence: int
+    requested_at: int
+    link: int = -1
+
+
 class Sessions:
     """All target sessions of this entry, by session id."""
 
@@ -47,7 +64,7 @@
         """Register as the handler of the leader's messages for targets."""
         self.open: dict[identity.SessionId, TargetSession] = {}
         self._leader = leader
-        self._renewals: dict[identity.SessionId, int] = {}
+        self._unanswered: dict[identity.SessionId, _RenewalRequest] = {}
         leader.target_handlers = upstream.TargetHandlers(
             self._list_polled, self._command, self._renew, self._end
         )
@@ -74,17 +91,18 @@
         return True
 
     def request_renewal(self, name: identity.SessionId, sequence: int) -> None:
-        """Request the renewal of a lease with the next batch."""
-        self._renewals[name] = sequence
+        """Request the renewal of a lease with the next batch.
+
+        The target has just answered. Without a leader, the request is sent to
+        the next one, so that the lease need not wait for another answer.
+        """
+        self._unanswered[name] = _RenewalRequest(sequence, clock.monotonic_ms())
 
     async def send_renewals(self) -> None:
         """Send the requested renewals in batches until cancelled."""
         while True:
             await anyio.sleep(_RENEWAL_INTERVAL_S)
-            if self._renewals:
-                batch = tuple(self._renewals.items())
-                self._renewals.clear()
-                self._leader.send(wire.Renewals(batch))
+            self._send_unanswered(clock.monotonic_ms())
 
     def count(self) -> int:
         """Return the number of open sessions."""
@@ -95,6 +113,27 @@
         for target_session in list(self.open.values()):
             target_session.relocate()
 
+    def _send_unanswered(self, now: int) -> None:
+        """Send the requests that were not sent on the current stream."""
+        self._unanswered = {
+            name: request
+            for name, request in self._unanswered.items()
+            if now - request.requested_at <= _MAX_REQUEST_AGE_MS
+        }
+        link = self._leader.link_count
+        batch: list[tuple[identity.SessionId, int]] = []
+        for name, request in self._unanswered.items():
+            if request.link != link:
+                request.link = link
+                batch.append((name, request.sequence))
+        if batch:
+            self._leader.send(wire.Renewals(tuple(batch)))
+
+    def _forget_answered(self, name: identity.SessionId, sequence: int) -> None:
+        request = self._unanswered.get(name)
+        if request is not None and request.sequence <= sequence:
+            self._unanswered.pop(name)
+
     def _list_polled(self) -> tuple[identity.SessionId, ...]:
         return tuple(
             name
@@ -109,12 +148,14 @@
 
     def _renew(self, renewed: wire.RenewedSessions) -> None:
         for name, sequence in renewed.sessions:
+            self._forget_answered(name, sequence)
             target_session = self.open.get(name)
             if target_session is not None:
                 target_session.renew(sequence)
 
     def _end(self, gone: wire.EndedSessions) -> None:
         for name in gone.sessions:
+            self._unanswered.pop(name, None)
             target_session = self.open.get(name)
             if target_session is not None:
                 target_session.end()
--- a/mulberrywalk/entry/upstream.py
+++ b/mulberrywalk/entry/upstream.py
@@ -68,6 +68,8 @@
             None
         )
         self.is_stopping = False
+        # The number of streams on which a leader has answered.
+        self.link_count = 0
         self._configuration_max_age_ms = configuration_max_age_ms
         self.configuration: configuration.Configuration | None = None
         self.target_handlers: TargetHandlers | None = None
@@ -183,11 +185,16 @@
             messages = tuple(filter(self._calls.mark_sent, queued))
 
     async def _read(self, stream: LeaderStream) -> None:
+        self._receive_batch(await stream.receive())
+        # A replica that does not lead redirects in its first batch.
+        self.link_count += 1
         while True:
-            batch = await stream.receive()
-            self._event_log.clock.observe(batch.clock)
-            for message in batch.messages:
-                self._receive(message)
+            self._receive_batch(await stream.receive())
+
+    def _receive_batch(self, batch: wire.ToEntryBatch) -> None:
+        self._event_log.clock.observe(batch.clock)
+        for message in batch.messages:
+            self._receive(message)
 
     def _pulse(self) -> wire.EntryHeartbeat:
         current = self.configuration
