End a replica with code 0 on a planned stop while callers are connected

What callers saw: a replica that was stopped by SIGTERM while a caller kept a connection open ended with code 1 and a stack, hypercorn's "InvalidStateError: Exception is not set".

Cause: the control interface was stopped by cancelling it. While hypercorn waits for its connections to close, a cancel scope cancels it again and again, and it then asks a future without a result for its exception.

Change: it is stopped by its own trigger, in a shielded scope, as in the entry.

The new test failed before: exit codes 1, 1 and 1 instead of 0, 0 and 0.

--- a/mulberrywalk/platform/replica.py
+++ b/mulberrywalk/platform/replica.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import contextlib
 import os
 import pathlib
 import signal
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 import anyio
@@ -54,14 +56,33 @@
         config.accesslog = None
         config.errorlog = None
         config.graceful_timeout = 0.2
+        stop = anyio.Event()
+
+        async def serve_until_stopped() -> None:
+            if not stop.is_set():
+                await hypercorn_server.serve(
+                    serve,  # type: ignore[arg-type]
+                    config,
+                    shutdown_trigger=stop.wait,
+                )
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(
+                _run_shielded, components.logger, serve_until_stopped
+            )
+            with contextlib.ExitStack() as stack:
+                stack.callback(stop.set)
+                await anyio.sleep_forever()
+
+
+async def _run_shielded(
+    event_log: journal.Journal,
+    serve_until_stopped: Callable[[], Awaitable[None]],
+) -> None:
+    """Serve until the trigger is set; a cancelled server raises an error."""
+    with anyio.CancelScope(shield=True):
         await retry.until_done(
-            components.logger,
-            'control interface',
-            lambda: hypercorn_server.serve(
-                serve,  # type: ignore[arg-type]
-                config,
-                shutdown_trigger=anyio.sleep_forever,
-            ),
+            event_log, 'control interface', serve_until_stopped
         )
 
 
--- a/tests/platform_test.py
+++ b/tests/platform_test.py
@@ -435,6 +435,17 @@
     assert slow_cluster.lines('targets assigned') == assigned
 
 
+def test_planned_stop_of_replicas_ends_in_order(cluster):
+    """Their callers keep connections open."""
+    replicas = cluster.processes[:REPLICAS]
+    with httpx.Client() as client:
+        for replica_address in cluster.replica_addresses:
+            client.get(f'http://{replica_address}/config/read')
+        exit_codes = [one.stop() for one in replicas]
+    assert exit_codes == [0, 0, 0]
+    assert not cluster.lines('ended by an error')
+
+
 def test_missing_long_running_task_is_reported(slow_cluster):
     name = '00000000000000ee'
     for unresponsive in slow_cluster.workers:
