Try again what the address of an entry refuses, and log why an entry ends

What callers saw: two entries of a test ended at once, since another test beside it had taken the same addresses: "OSError: [Errno 98] Address already in use", with a stack past the log.

Cause: as in the replica, an address in use ended the program (code 3 on the command line, 1 on the platform), although it may be free a moment later.

Change: it is tried again every 0.2 s with a logged reason, until a signal stops the entry. An error that ends an entry is the last line of its log, and its exit code is 1. The module that repeats is one of telemetry now, as entries and replicas share it, and the file of the tests over both is named after them.

The test for an entry failed before: it ended with code 3.

--- a/mulberrywalk/entry/program.py
+++ b/mulberrywalk/entry/program.py
@@ -5,6 +5,7 @@
 import abc
 import dataclasses
 import signal
+import sys
 from typing import Annotated, Any
 
 import anyio
@@ -13,10 +14,10 @@
 from hypercorn import asyncio as hypercorn_server
 from hypercorn import config as hypercorn_config
 
-from ..telemetry import cost, journal, metric, setting
+from ..telemetry import cost, journal, metric, retry, setting
 from . import connection, http_api, protocol, session, upstream
 
-_EXIT_ADDRESS_ERROR = 3
+_EXIT_FAILURE = 1
 _POLL_INTERVAL_S = 0.05
 _LOG_FORMATS = frozenset(('text', 'json'))
 _MAX_DURATION_MS = 3_600_000
@@ -87,12 +88,7 @@
     )
     checker.exit_on_errors()
     journal.open_log(is_json=settings.log_format == 'json')
-    try:
-        anyio.run(serve, settings, backend='asyncio')
-    except* OSError as errors:
-        for error in errors.exceptions:
-            typer.echo(str(error), err=True)
-        raise typer.Exit(_EXIT_ADDRESS_ERROR) from errors
+    run_to_end(settings)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -137,11 +133,25 @@
         """Do nothing."""
 
 
+def run_to_end(settings: Settings, extension: Extension | None = None) -> None:
+    """Run the entry until a signal stops it.
+
+    An error that ends it is the last line of the log, with its stack.
+    """
+    try:
+        anyio.run(serve, settings, extension, backend='asyncio')
+    except Exception as error:
+        _create_journal(settings).report_end(error)
+        sys.exit(_EXIT_FAILURE)
+
+
+def _create_journal(settings: Settings) -> journal.Journal:
+    return journal.Journal(journal.Origin(settings.name, settings.data_centre))
+
+
 async def serve(settings: Settings, extension: Extension | None = None) -> None:
     """Assemble the entry and run it until a signal."""
-    event_log = journal.Journal(
-        journal.Origin(settings.name, settings.data_centre)
-    )
+    event_log = _create_journal(settings)
     metrics = metric.Exposition(
         metric.connect(settings.statsd, f'mulberrywalk.{settings.name}')
     )
@@ -163,7 +173,9 @@
         group.start_soon(sessions.send_renewals)
         group.start_soon(active_extension.run)
         group.start_soon(_drain_on_signal, settings, api, targets, stop)
-        group.start_soon(_serve_http, application, config, stop, group)
+        group.start_soon(
+            _serve_http, application, config, stop, group, event_log
+        )
         event_log.record('entry running', settings.listen)
 
 
@@ -181,10 +193,15 @@
     config: hypercorn_config.Config,
     stop: anyio.Event,
     group: TaskGroup,
+    event_log: journal.Journal,
 ) -> None:
-    await hypercorn_server.serve(
-        application, config, shutdown_trigger=stop.wait
-    )
+    async def serve_until_stopped() -> None:
+        if not stop.is_set():
+            await hypercorn_server.serve(
+                application, config, shutdown_trigger=stop.wait
+            )
+
+    await retry.until_done(event_log, 'listen', serve_until_stopped)
     group.cancel_scope.cancel()
 
 
--- a/mulberrywalk/platform/entry.py
+++ b/mulberrywalk/platform/entry.py
@@ -149,7 +149,7 @@
     program_settings = to_entry_settings(settings)
     journal.open_log(is_json=program_settings.log_format == 'json')
     extension = PlatformExtension(path, settings)
-    anyio.run(program.serve, program_settings, extension, backend='asyncio')
+    program.run_to_end(program_settings, extension)
 
 
 if __name__ == '__main__':
--- a/mulberrywalk/platform/replica.py
+++ b/mulberrywalk/platform/replica.py
@@ -14,9 +14,9 @@
 from hypercorn import config as hypercorn_config
 
 from ..consensus import message
-from ..replica import leader, program, retry
+from ..replica import leader, program
 from ..storage import disk as storage
-from ..telemetry import journal
+from ..telemetry import journal, retry
 from . import control_api, http, setting
 
 _REPAIR_AFTER_MS = 3000
--- a/mulberrywalk/replica/engine.py
+++ b/mulberrywalk/replica/engine.py
@@ -19,9 +19,9 @@
 from ..consensus import message, node, raft
 from ..core import effect, event, outcome, snapshot, state
 from ..storage import disk as storage
-from ..telemetry import clock, journal
+from ..telemetry import clock, journal, retry
 from ..transport import decoding
-from . import proposal, retry, state_machine
+from . import proposal, state_machine
 
 TICK_INTERVAL_S = 0.03
 # Below the heartbeat interval, so that a leader with a long backlog of
--- a/mulberrywalk/replica/engine_test.py
+++ b/mulberrywalk/replica/engine_test.py
@@ -10,8 +10,8 @@
 from ..consensus import message, node
 from ..core import cell_test, configuration, event, job, outcome, resource
 from ..storage import disk as storage
-from ..telemetry import clock, journal
-from . import engine, retry
+from ..telemetry import clock, journal, retry
+from . import engine
 
 ENTRIES = 400
 # Each reading of the clock advances it by the cost of an expensive entry.
--- a/mulberrywalk/replica/program.py
+++ b/mulberrywalk/replica/program.py
@@ -19,9 +19,9 @@
 
 from ..consensus import message, node
 from ..storage import disk as storage
-from ..telemetry import cost, journal, metric, setting
+from ..telemetry import cost, journal, metric, retry, setting
 from ..transport import channel, wire
-from . import engine, leader, peer, retry, status
+from . import engine, leader, peer, status
 
 _EXIT_FAILURE = 1
 _EXIT_STORAGE = 3
--- a/mulberrywalk/replica/retry.py
+++ b/mulberrywalk/telemetry/retry.py
@@ -8,7 +8,7 @@
 import anyio
 from anyio.to_thread import run_sync
 
-from ..telemetry import journal
+from . import journal
 
 DELAY_S = 0.2
 
--- a/tests/replica_process_test.py
+++ b/tests/process_end_test.py
@@ -1,4 +1,4 @@
-"""A replica process ends for a broken invariant only, and tells which."""
+"""A process ends for a broken invariant only, and tells which."""
 
 import contextlib
 import socket
@@ -31,24 +31,27 @@
 """
 
 
-class ReplicaProcess:
-    """A replica process with an empty data folder."""
+REPLICA = ('-m', 'mulberrywalk.replica.program', 'run')
+ENTRY = ('-m', 'mulberrywalk.entry.program')
+
+
+class ProgramProcess:
+    """A process of one of the programs, with its log."""
 
     def __init__(self, folder, address, script):
-        self.log = folder / 'replica.log'
+        self.log = folder / 'process.log'
         options = {
-            'data': folder / 'data',
             'name': 'a',
             'data-centre': 'dc',
             'listen': address,
             'replicas': address,
         }
+        if script != ENTRY:
+            options['data'] = folder / 'data'
         flags = [f'--{name}={text}' for name, text in options.items()]
         with self.log.open('wb') as output:
             self.running = subprocess.Popen(
-                [sys.executable, *script, 'run', *flags],
-                stdout=output,
-                stderr=output,
+                [sys.executable, *script, *flags], stdout=output, stderr=output
             )
 
     def wait_for(self, text):
@@ -61,14 +64,14 @@
 
 
 @pytest.fixture
-def start_replica(tmp_path):
+def start_process(tmp_path):
     with contextlib.ExitStack() as stack:
 
-        def start(address, script=('-m', 'mulberrywalk.replica.program')):
-            replica = ReplicaProcess(tmp_path, address, script)
-            stack.callback(replica.running.wait)
-            stack.callback(replica.running.kill)
-            return replica
+        def start(address, script=REPLICA):
+            process = ProgramProcess(tmp_path, address, script)
+            stack.callback(process.running.wait)
+            stack.callback(process.running.kill)
+            return process
 
         yield start
 
@@ -78,8 +81,8 @@
     return f'127.0.0.1:{port}'
 
 
-def test_reason_for_the_end_is_the_last_log_line(start_replica):
-    replica = start_replica(free_address(), ('-c', BROKEN_PROGRAM))
+def test_reason_for_the_end_is_the_last_log_line(start_process):
+    replica = start_process(free_address(), ('-c', BROKEN_PROGRAM, 'run'))
     assert replica.running.wait(DEADLINE_S) == 1
     text = replica.log.read_text()
     lines = text.strip().splitlines()
@@ -88,25 +91,37 @@
     assert 'Event loop is closed' not in text
 
 
-def test_address_in_use_ends_no_process(start_replica):
+@pytest.mark.parametrize('program', [REPLICA, ENTRY])
+def test_address_in_use_ends_no_process(start_process, program):
     address = free_address()
     host, port = address.split(':')
     with socket.create_server((host, int(port))):
-        replica = start_replica(address)
-        replica.wait_for('listen: refused, trying again')
-    replica.wait_for('replica running')
+        process = start_process(address, program)
+        process.wait_for('listen: refused, trying again')
+    deadline = time.monotonic() + DEADLINE_S
+    while not is_listening(host, int(port)):
+        assert process.running.poll() is None
+        assert time.monotonic() < deadline
+        time.sleep(0.05)
+
+
+def is_listening(host, port):
+    with contextlib.suppress(OSError):
+        socket.create_connection((host, port), 1).close()
+        return True
+    return False
 
 
-def test_refused_data_folder_ends_no_process(start_replica, tmp_path):
+def test_refused_data_folder_ends_no_process(start_process, tmp_path):
     folder = tmp_path / 'data'
     folder.write_text('a file stands where the folder belongs')
-    replica = start_replica(free_address())
+    replica = start_process(free_address())
     replica.wait_for('data folder: refused, trying again')
     folder.unlink()
     replica.wait_for('replica running')
 
 
-def test_silent_peer_ends_no_process(start_replica, tmp_path):
+def test_silent_peer_ends_no_process(start_process, tmp_path):
     """The replica asks for votes; the other one accepts and never answers."""
     address = free_address()
     other = free_address()
@@ -124,7 +139,7 @@
             MappingProxyType({channel.PEER: never_answer}),
             MappingProxyType({channel.JOIN: never_answer}),
         )
-        replica = start_replica(address)
+        replica = start_process(address)
         await run_sync(replica.wait_for, 'role pre_candidate')
         await anyio.sleep(4 * channel.TIMEOUT_S)
         await server.stop()
