Give clusters of tests that run beside each other other addresses

What callers saw: one of ten traced runs of test_new_leader_stops_no_running_task failed with "no task started": both of its entries had ended with "Address already in use".

Cause: a cluster took its network and its ports from the process id modulo 200, so that two test processes whose ids differ by a multiple of 200 took the same ones. Then one's processes end, or answer the callers of the other. It may stand behind other failures beside a load of tests; that isn't proved.

Change: the network is drawn from 27,500 for each cluster. No assertion changes.

--- a/tests/platform_test.py
+++ b/tests/platform_test.py
@@ -7,6 +7,7 @@
 import json
 import os
 import pathlib
+import secrets
 import signal
 import sys
 import time
@@ -24,7 +25,10 @@
 HOST = 'queue.example'
 # Lease of a polled target under the default settings.
 TARGET_LEASE_S = 5.5
-_subnets = itertools.count(os.getpid() % 200)
+# Clusters that run beside each other must not choose the same addresses: all
+# processes of one would end, or answer the callers of the other.
+FIRST_SUBNET = 10
+SUBNETS = 27_500
 
 
 class PlatformCluster:
@@ -32,8 +36,9 @@
 
     def __init__(self, folder: pathlib.Path, run_s: float) -> None:
         """Start all processes and apply a configuration."""
-        subnet = next(_subnets) % 250
-        self.hosts = [f'127.9.{subnet}.{one}' for one in range(1, 6)]
+        high, low = divmod(secrets.randbelow(SUBNETS), 250)
+        subnet = f'{FIRST_SUBNET + high}.{low}'
+        self.hosts = [f'127.{subnet}.{one}' for one in range(1, 6)]
         ports = cell.free_ports(4)
         self.replica_port = ports[0]
         self.entry_port = ports[1]
