--- a/tests/platform_test.py
+++ b/tests/platform_test.py
@@ -7,6 +7,7 @@
 import json
 import os
 import pathlib
+import secrets
 import signal
 import sys
 import time
@@ -24,7 +25,10 @@
 HOST = 'queue.example'
 # Lease of a polled target under the default settings.
 TARGET_LEASE_S = 5.5
-_subnets = itertools.count(os.getpid() % 200)
+# Clusters that run beside each other must not choose the same addresses: all
+# processes of one would end, or answer the callers of the other.
+FIRST_SUBNET = 10
+SUBNETS = 27_500
 
 
 class PlatformCluster:
@@ -32,8 +36,9 @@
 
     def __init__(self, folder: pathlib.Path, run_s: float) -> None:
         """Start all processes and apply a configuration."""
-        subnet = next(_subnets) % 250
-        self.hosts = [f'127.9.{subnet}.{one}' for one in range(1, 6)]
+        high, low = divmod(secrets.randbelow(SUBNETS), 250)
+        subnet = f'{FIRST_SUBNET + high}.{low}'
+        self.hosts = [f'127.{subnet}.{one}' for one in range(1, 6)]
         ports = cell.free_ports(4)
         self.replica_port = ports[0]
         self.entry_port = ports[1]
@@ -435,6 +440,17 @@
     assert slow_cluster.lines('targets assigned') == assigned
 
 
+def test_planned_stop_of_replicas_ends_in_order(cluster):
+    """Their callers keep connections open."""
+    replicas = cluster.processes[:REPLICAS]
+    with httpx.Client() as client:
+        for replica_address in cluster.replica_addresses:
+            client.get(f'http://{replica_address}/config/read')
+        exit_codes = [one.stop() for one in replicas]
+    assert exit_codes == [0, 0, 0]
+    assert not cluster.lines('ended by an error')
+
+
 def test_missing_long_running_task_is_reported(slow_cluster):
     name = '00000000000000ee'
     for unresponsive in slow_cluster.workers:
