List a step's targets only when a question can be sent

Cause: in each pass, each waiting step listed all targets that it could run on, to ask the adviser about them, although its question was still open. An advised step also listed all targets before it looked which of them it has tickets for, and a reservation listed all before it looked which are allowed. With dozens of waiting steps and 176 targets, this was most of a pass.

Change: targets are listed for a question only if none is open. Only targets with a ticket are looked at for placement, only allowed ones for a reservation.

--- a/mulberrywalk/core/advice.py
+++ b/mulberrywalk/core/advice.py
@@ -46,7 +46,7 @@
     """
     record = tables.jobs[step.job]
     terms = record.specification.advice
-    if terms is None or is_request_pending(tables, step):
+    if terms is None or not can_request(tables, step):
         return
     targets = _choose_targets(tables, step, suitable)
     if not targets:
@@ -163,6 +163,12 @@
     return min(slots, needs.per_target_limit - live_count)
 
 
+def can_request(tables: state.State, step: job.Step) -> bool:
+    """Return whether a step has an adviser and no request pending."""
+    terms = tables.jobs[step.job].specification.advice
+    return terms is not None and not is_request_pending(tables, step)
+
+
 def is_request_pending(tables: state.State, step: job.Step) -> bool:
     """Return whether a request is open or the next one is not due yet."""
     terms = tables.jobs[step.job].specification.advice
--- a/mulberrywalk/core/step_placement.py
+++ b/mulberrywalk/core/step_placement.py
@@ -8,7 +8,7 @@
 
 import dataclasses
 import itertools
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 
 import msgspec
 
@@ -62,75 +62,82 @@
     numbers = list(tables.waiting.steps.get(name, ()))
     if needs.is_gang and len(numbers) < needs.count:
         return False
-    suitable = _find_suitable(tables, step, needs)
-    placement = _prepare(tables, step, needs, suitable)
+    placement = _prepare(tables, step, needs)
     if needs.is_gang:
         count = _place_gang(tables, placement, numbers)
     else:
         count = _place_each(tables, placement, numbers)
     if count < len(numbers):
-        advice.request_advice(
-            tables, tables.steps[name], find_eligible_targets(tables, name)
-        )
+        _request_advice(tables, name)
     return count > 0
 
 
+def _request_advice(tables: state.State, name: identity.StepId) -> None:
+    # Targets are listed only if a request can be sent: while many steps wait
+    # for answers, listing them for each step would take most of a pass.
+    step = tables.steps[name]
+    if advice.can_request(tables, step):
+        eligible = find_eligible_targets(tables, name)
+        advice.request_advice(tables, step, eligible)
+
+
 def find_eligible_targets(
-    tables: state.State, name: identity.StepId
+    tables: state.State,
+    name: identity.StepId,
+    names: Iterable[identity.TargetId] | None = None,
 ) -> list[fleet.TargetLoad]:
     """Return the targets a step could run on once they have room.
 
-    Advice is disregarded as well.
+    Advice is disregarded as well. names limits the targets to look at.
     """
     step = tables.steps[name]
+    considered = tables.fleet.loads if names is None else names
     return [
         load
-        for load in _iter_usable(tables, step)
+        for load in _iter_usable(tables, step, considered)
         if _is_below_limit(tables, step, load)
     ]
 
 
 def _prepare(
-    tables: state.State,
-    step: job.Step,
-    needs: job.StepSpecification,
-    suitable: list[fleet.TargetLoad],
+    tables: state.State, step: job.Step, needs: job.StepSpecification
 ) -> StepPlacement:
     tickets: dict[identity.TargetId, str] = {}
-    candidates = suitable
-    if tables.jobs[step.job].specification.advice is not None:
+    if tables.jobs[step.job].specification.advice is None:
+        candidates = _find_suitable(tables, step, needs)
+    else:
         tickets = advice.find_valid_tickets(tables, step)
-        candidates = [load for load in suitable if load.target in tickets]
+        candidates = list(_iter_usable(tables, step, tickets))
     return StepPlacement(step, needs, needs.demand(), candidates, tickets)
 
 
 def _find_suitable(
     tables: state.State, step: job.Step, needs: job.StepSpecification
 ) -> list[fleet.TargetLoad]:
-    """Return the open targets that a step may run on, regardless of advice.
-
-    For a job without an adviser, only targets with room are listed.
-    """
-    loads = _iter_usable(tables, step)
-    if tables.jobs[step.job].specification.advice is not None:
-        return list(loads)
+    """Return open targets with room that a step without an adviser may use."""
     demand = needs.demand()
+    loads = _iter_usable(tables, step, tables.fleet.loads)
     fitting = (load for load in loads if resource.fits(demand, load.free))
     return list(itertools.islice(fitting, _MAX_CANDIDATES))
 
 
 def _iter_usable(
-    tables: state.State, step: job.Step
+    tables: state.State, step: job.Step, names: Iterable[identity.TargetId]
 ) -> Iterator[fleet.TargetLoad]:
-    """Yield the open targets that hold a task of a step when empty."""
+    """Yield those of the named targets that can hold a task when empty.
+
+    Targets that are closed or unknown are left out.
+    """
     specification = tables.jobs[step.job].specification
     needs = tables.step_specification(step)
     demand = needs.demand()
     # Sorted by name, because a restored replica may have another order.
+    loads = (tables.fleet.loads.get(name) for name in sorted(names))
     return (
         load
-        for _, load in sorted(tables.fleet.loads.items())
-        if load.is_available()
+        for load in loads
+        if load is not None
+        and load.is_available()
         and load.matches(specification.pool, needs.label)
         and resource.fits(demand, load.capacity)
     )
--- a/mulberrywalk/core/step_placement_test.py
+++ b/mulberrywalk/core/step_placement_test.py
@@ -1,6 +1,15 @@
 """Steps are placed on steady targets where possible."""
 
-from . import cell_test, event, identity, job, target, workflow
+from . import (
+    cell_test,
+    event,
+    identity,
+    job,
+    step_placement,
+    target,
+    workflow,
+    workflow_test,
+)
 
 
 def submit_lasting(cell, number):
@@ -46,3 +55,26 @@
     assert cell.now > cell.tables.steps[step].worthless_at
     assert not workflow.demote_if_worthless(cell.tables, step)
     assert cell.tables.steps[step].order < cell.tables.steps[step].worthless_at
+
+
+def test_targets_are_not_listed_again_while_an_answer_is_awaited(monkeypatch):
+    listed = []
+    find = step_placement.find_eligible_targets
+
+    def count_lists(tables, name, *more):
+        listed.append(name)
+        return find(tables, name, *more)
+
+    monkeypatch.setattr(step_placement, 'find_eligible_targets', count_lists)
+    cell = workflow_test.advised_cell(2)
+    whole_target = cell_test.step(4, 4000)
+    cell.submit(workflow_test.workflow(whole_target, queue='q'))
+    request = cell_test.only(workflow_test.advice_requests(cell.dispatch()))
+    cell.open_session(2)
+    workflow_test.answer_advice(cell, request, 't0')
+    listed.clear()
+    passes = [
+        workflow_test.advice_requests(cell.dispatch(10)) for _ in range(20)
+    ]
+    cell_test.only([requests for requests in passes if requests])
+    assert len(listed) == 1
--- a/mulberrywalk/core/step_reservation.py
+++ b/mulberrywalk/core/step_reservation.py
@@ -139,11 +139,10 @@
     step = tables.steps[task.step_id()]
     is_advised = tables.specification(task).advice is not None
     allowed = {ticket.target for ticket in step.tickets}
+    names = allowed if is_advised else None
     taken = {one.load.target for one in reserved if one.step == step.step}
-    for load in step_placement.find_eligible_targets(tables, step.step):
-        is_allowed = not is_advised or load.target in allowed
-        is_taken = load.is_on_probation or load.target in taken
-        if is_allowed and not is_taken:
+    for load in step_placement.find_eligible_targets(tables, step.step, names):
+        if not (load.is_on_probation or load.target in taken):
             yield load
 
 
