--- a/mulberrywalk/core/step_placement.py
+++ b/mulberrywalk/core/step_placement.py
@@ -8,6 +8,7 @@
 
 import dataclasses
 import itertools
+from collections.abc import Iterable, Iterator
 
 import msgspec
 
@@ -75,27 +76,34 @@
     else:
         count = _place_each(tables, placement, numbers)
     if count < len(numbers):
-        advice.request_advice(
-            tables, tables.steps[name], find_eligible_targets(tables, name)
-        )
+        _request_advice(tables, name)
     return count > 0
 
 
+def _request_advice(tables: state.State, name: identity.StepId) -> None:
+    # Targets are listed only if a request can be sent: while many steps wait
+    # for answers, listing them for each step would take most of a pass.
+    step = tables.steps[name]
+    if advice.can_request(tables, step):
+        eligible = find_eligible_targets(tables, name)
+        advice.request_advice(tables, step, eligible)
+
+
 def find_eligible_targets(
-    tables: state.State, name: identity.StepId
+    tables: state.State,
+    name: identity.StepId,
+    names: Iterable[identity.TargetId] | None = None,
 ) -> list[fleet.TargetLoad]:
     """Return the targets a step could run on once they have room.
 
     Advice is disregarded as well. Targets set aside are listed for lasting
-    work, which may have to use them.
+    work, which may have to use them. names limits the targets to look at.
     """
     step = tables.steps[name]
     is_lasting = tables.step_specification(step).is_lasting
-    return [
-        load
-        for load in _find_usable(tables, step, is_overdue=is_lasting)
-        if _is_below_limit(tables, step, load)
-    ]
+    considered = tables.fleet.loads if names is None else names
+    loads = _iter_usable(tables, step, considered, with_set_aside=is_lasting)
+    return [load for load in loads if _is_below_limit(tables, step, load)]
 
 
 def _prepare(
@@ -103,10 +111,12 @@
 ) -> StepPlacement:
     needs = tables.step_specification(step)
     tickets: dict[identity.TargetId, str] = {}
-    candidates = _find_suitable(tables, step, is_overdue=is_overdue)
-    if tables.jobs[step.job].specification.advice is not None:
+    if tables.jobs[step.job].specification.advice is None:
+        candidates = _find_suitable(tables, step, is_overdue=is_overdue)
+    else:
         tickets = advice.find_valid_tickets(tables, step)
-        candidates = [load for load in candidates if load.target in tickets]
+        usable = _iter_usable(tables, step, tickets, with_set_aside=is_overdue)
+        candidates = list(usable)
     return StepPlacement(
         step, needs, needs.demand(), candidates, tickets, is_overdue
     )
@@ -115,48 +125,40 @@
 def _find_suitable(
     tables: state.State, step: job.Step, *, is_overdue: bool
 ) -> list[fleet.TargetLoad]:
-    """Return the targets that a step may run on, regardless of advice.
-
-    For a job without an adviser, only targets with room are listed.
-    """
-    loads = _find_usable(tables, step, is_overdue=is_overdue)
-    if tables.jobs[step.job].specification.advice is not None:
-        return loads
+    """Return targets with room that a step without an adviser may use."""
     demand = tables.step_specification(step).demand()
+    loads = _iter_usable(
+        tables, step, tables.fleet.loads, with_set_aside=is_overdue
+    )
     fitting = (load for load in loads if resource.fits(demand, load.free))
     return list(itertools.islice(fitting, _MAX_CANDIDATES))
 
 
-def _find_usable(
-    tables: state.State, step: job.Step, *, is_overdue: bool
-) -> list[fleet.TargetLoad]:
-    """Return the targets that hold a task of a step when empty.
-
-    Targets set aside follow if the step is overdue.
+def _iter_usable(
+    tables: state.State,
+    step: job.Step,
+    names: Iterable[identity.TargetId],
+    *,
+    with_set_aside: bool,
+) -> Iterator[fleet.TargetLoad]:
+    """Yield those of the named targets that can hold a task when empty.
+
+    Targets that are closed or unknown are left out, and so are those set
+    aside unless they are asked for.
     """
-    holding = _find_holding(tables, step)
-    usable = [load for load in holding if load.is_available()]
-    if is_overdue:
-        usable.extend(
-            load for load in holding if health.is_set_aside(tables, load)
-        )
-    return usable
-
-
-def _find_holding(
-    tables: state.State, step: job.Step
-) -> list[fleet.TargetLoad]:
-    """Return the targets of a step's kind that hold a task when empty."""
     specification = tables.jobs[step.job].specification
     needs = tables.step_specification(step)
     demand = needs.demand()
     # Sorted by name, because a restored replica may have another order.
-    return [
+    loads = (tables.fleet.loads.get(name) for name in sorted(names))
+    return (
         load
-        for _, load in sorted(tables.fleet.loads.items())
-        if load.matches(specification.pool, needs.label)
+        for load in loads
+        if load is not None
+        and load.matches(specification.pool, needs.label)
         and resource.fits(demand, load.capacity)
-    ]
+        and _is_usable(tables, load, with_set_aside=with_set_aside)
+    )
 
 
 def _place_each(
@@ -258,7 +260,7 @@
         load
         for load in placement.candidates
         if resource.fits(placement.demand, load.free)
-        and _is_usable(tables, placement, load)
+        and _is_usable(tables, load, with_set_aside=placement.is_overdue)
         and _is_below_limit(tables, placement.step, load)
     ]
     if not fitting:
@@ -329,10 +331,10 @@
 
 
 def _is_usable(
-    tables: state.State, placement: StepPlacement, load: fleet.TargetLoad
+    tables: state.State, load: fleet.TargetLoad, *, with_set_aside: bool
 ) -> bool:
     return load.is_available() or (
-        placement.is_overdue and health.is_set_aside(tables, load)
+        with_set_aside and health.is_set_aside(tables, load)
     )
 
 
