Show that a move costs the square of the targets

find_move looks, for each target of the overdue task, for another target of each lasting attempt there, and builds that list of targets anew each time. With one overdue task, 10 targets need 100 looks and 40 need 1600.

Test: test_pass_with_a_cell_full_of_lasting_work_looks_at_few_options

--- /dev/null
+++ b/mulberrywalk/core/step_reservation_review_test.py
@@ -0,0 +1,103 @@
+"""Overdue lasting work does not stop, starve or cost more than it needs."""
+
+import pytest
+
+from . import (
+    cell_test,
+    event,
+    job,
+    reclaim,
+    step_reservation_test,
+    workflow_test,
+)
+
+LONG_MS = 60_000
+STOP_MS = 1500
+OTHER = 'f0' * 8
+
+
+class SlowStopCell(cell_test.Cell):
+    """A cell whose tasks run until they are stopped, which takes a while."""
+
+    def __init__(self, targets):
+        super().__init__(targets=targets)
+        self.ends_at = {}
+        self.stop_count = 0
+
+    def pass_time(self, duration_ms):
+        for _ in range(duration_ms // step_reservation_test.PASS_MS):
+            self.end_stopped()
+            effects = self.dispatch(step_reservation_test.PASS_MS)
+            for attempt in workflow_test.started_attempts(effects):
+                self.start(attempt)
+            for attempt in workflow_test.stopped_attempts(effects):
+                self.stop_count += 1
+                self.ends_at[attempt.attempt] = self.now + STOP_MS
+
+    def end_stopped(self):
+        for name, ends_at in list(self.ends_at.items()):
+            if ends_at <= self.now:
+                self.ends_at.pop(name)
+                self.report(self.tables.attempts[name], job.EndReason.STOPPED)
+
+    def submit_step(self, name, step, urgency=job.Urgency.LOW):
+        self.submit(
+            workflow_test.workflow(
+                step, job=name, request_id=name, urgency=urgency
+            )
+        )
+
+    def state_of(self, name):
+        return self.tables.tasks[f'{name}.0.0.0'].state
+
+
+def number_names(first, count):
+    return [f'{number:016x}' for number in range(first, first + count)]
+
+
+def keep_running(cell):
+    """Let the work that runs on a cell run for a long time."""
+    cell.ends_at = dict.fromkeys(cell.ends_at, cell.now + LONG_MS)
+
+
+def stopping_on(cell):
+    """Return the targets on which attempts are being stopped."""
+    attempts = cell.tables.attempts.values()
+    return {one.target for one in attempts if one.stopping is not None}
+
+
+def allow(cell, step, *names):
+    """Let a step run on more targets."""
+    tickets = tuple((name, f'ticket of {name}') for name in names)
+    cell.apply(event.AdviceReceived, step, names, tickets, 0)
+
+
+def count_stopped(cell):
+    history = (
+        ended for task in cell.tables.tasks.values() for ended in task.history
+    )
+    return sum(ended.reason is job.EndReason.STOPPED for ended in history)
+
+
+@pytest.mark.parametrize('targets', [10, 40])
+def test_pass_with_a_cell_full_of_lasting_work_looks_at_few_options(
+    monkeypatch, targets
+):
+    cell = SlowStopCell(targets=targets)
+    for name in number_names(1, targets):
+        cell.submit_step(name, cell_test.step(1, 3500, is_lasting=True))
+    cell.pass_time(500)
+    late = number_names(targets + 1, 1)[0]
+    cell.submit_step(late, cell_test.step(1, 3500, is_lasting=True))
+    cell.pass_time(2000)
+    assert cell.state_of(late) is job.TaskState.WAITING
+    looked_at = []
+    find_option = reclaim.find_option
+
+    def count(tables, task, load):
+        looked_at.append(load.target)
+        return find_option(tables, task, load)
+
+    monkeypatch.setattr(reclaim, 'find_option', count)
+    cell.dispatch(100)
+    assert len(looked_at) <= 4 * targets
