Show that lasting tasks take the room made for work below its floor

Overdue lasting tasks take the room of each attempt that preemption stops for urgent work. They stop each other in turn, 13 times in 20 s on one target, and the urgent task does not start. Without reserve() it starts after one stop.

Test: test_work_below_its_floor_gets_the_room_that_is_made_for_it

--- a/mulberrywalk/core/step_reservation_review_test.py
+++ b/mulberrywalk/core/step_reservation_review_test.py
@@ -79,6 +79,19 @@
     return sum(ended.reason is job.EndReason.STOPPED for ended in history)
 
 
+def test_work_below_its_floor_gets_the_room_that_is_made_for_it():
+    cell = SlowStopCell(targets=1)
+    for name in number_names(1, 3):
+        cell.submit_step(name, cell_test.step(1, 3500, is_lasting=True))
+    cell.pass_time(2000)
+    urgent = cell.submit(
+        cell_test.specify(9, millicores=3500, urgency=job.Urgency.CRITICAL)
+    )
+    cell.pass_time(20_000)
+    assert cell.stop_count == 1
+    assert cell.task(urgent.job).state is job.TaskState.RUNNING
+
+
 @pytest.mark.parametrize('targets', [10, 40])
 def test_pass_with_a_cell_full_of_lasting_work_looks_at_few_options(
     monkeypatch, targets
