Show that the least urgent lasting work takes all targets

Overdue tasks are placed before all queues; the limit on the reserved share does not count what is placed. A new LOW step takes all targets from CRITICAL work that waits. Without reserve() CRITICAL work goes on.

Test: test_least_urgent_lasting_work_leaves_room_for_the_most_urgent

--- a/mulberrywalk/core/step_reservation_review_test.py
+++ b/mulberrywalk/core/step_reservation_review_test.py
@@ -92,6 +92,23 @@
     assert cell.task(urgent.job).state is job.TaskState.RUNNING
 
 
+def test_least_urgent_lasting_work_leaves_room_for_the_most_urgent():
+    cell = step_reservation_test.BusyCell(job.Urgency.CRITICAL)
+    cell.pass_time(1000)
+    cell.submit(
+        workflow_test.workflow(
+            cell_test.step(
+                step_reservation_test.TARGETS, 3500, is_lasting=True
+            ),
+            job=OTHER,
+            urgency=job.Urgency.LOW,
+        )
+    )
+    cell.pass_time(20_000)
+    running = cell.tables.attempts.values()
+    assert any(not one.task.startswith(OTHER) for one in running)
+
+
 @pytest.mark.parametrize('targets', [10, 40])
 def test_pass_with_a_cell_full_of_lasting_work_looks_at_few_options(
     monkeypatch, targets
