Show that 16 hopeless lasting steps switch the reservation off

This test fails on and is not fixed here. With 15 such steps it passes.

The 16 steps that have waited longest are looked at, also those without any target that they may run on. They stay the first for as long as they wait.

Test: test_lasting_steps_that_fit_nowhere_do_not_keep_others_from_room

--- a/mulberrywalk/core/step_reservation_review_test.py
+++ b/mulberrywalk/core/step_reservation_review_test.py
@@ -109,6 +109,24 @@
     assert any(not one.task.startswith(OTHER) for one in running)
 
 
+@pytest.mark.parametrize('count', [15, 16])
+def test_lasting_steps_that_fit_nowhere_do_not_keep_others_from_room(count):
+    cell = step_reservation_test.BusyCell(job.Urgency.LOW)
+    for name in number_names(1 << 60, count):
+        cell.submit(
+            workflow_test.workflow(
+                cell_test.step(1, is_lasting=True, label='none'),
+                job=name,
+                request_id=name,
+                urgency=job.Urgency.HIGH,
+            )
+        )
+    cell.pass_time(1000)
+    cell.submit_lasting()
+    cell.pass_time(step_reservation_test.LOST_AFTER_MS)
+    assert cell.lasting().state is job.TaskState.RUNNING
+
+
 @pytest.mark.parametrize('targets', [10, 40])
 def test_pass_with_a_cell_full_of_lasting_work_looks_at_few_options(
     monkeypatch, targets
