Show that two overdue steps count on the same ending work

The attempts stopped for the first step count as room for the second as well, so that nothing is stopped for the second until they have ended.

Test: test_two_overdue_steps_do_not_count_on_the_same_ending_work

--- a/mulberrywalk/core/step_reservation_review_test.py
+++ b/mulberrywalk/core/step_reservation_review_test.py
@@ -7,6 +7,7 @@
     event,
     job,
     reclaim,
+    step_reservation,
     step_reservation_test,
     workflow_test,
 )
@@ -79,6 +80,20 @@
     return sum(ended.reason is job.EndReason.STOPPED for ended in history)
 
 
+def test_two_overdue_steps_do_not_count_on_the_same_ending_work():
+    # So many targets that two tasks are within the share to be reserved.
+    targets = 20
+    cell = SlowStopCell(targets=targets)
+    for name in number_names(1, 3 * targets):
+        cell.submit_step(name, cell_test.step(1, 1300))
+    cell.pass_time(500)
+    assert len(cell.tables.attempts) == 3 * targets
+    for name in number_names(1 << 60, 2):
+        cell.submit_step(name, cell_test.step(1, 3500, is_lasting=True))
+    cell.pass_time(step_reservation.RESERVE_AFTER_MS + 300)
+    assert len(stopping_on(cell)) == 2
+
+
 def test_work_below_its_floor_gets_the_room_that_is_made_for_it():
     cell = SlowStopCell(targets=1)
     for name in number_names(1, 3):
