Stop no work that a lasting task fits beside

Victims were added cheapest first until the demand fit, and those that turned out needless were stopped too, for example fillers where processor was short.

Test: test_work_whose_end_frees_nothing_that_is_short_is_not_stopped

--- a/mulberrywalk/core/reclaim.py
+++ b/mulberrywalk/core/reclaim.py
@@ -41,12 +41,27 @@
         victims.append(victim)
         room = _add_held(room, [victim])
     if resource.fits(demand, room):
-        return Option(load, tuple(victims))
+        return Option(load, _leave_out_needless(demand, room, victims))
     if resource.fits(demand, _future_room(tables, load)):
         return Option(load, (), needs_wait=True)
     return None
 
 
+def _leave_out_needless(
+    demand: resource.Resources,
+    room: resource.Resources,
+    victims: list[job.Attempt],
+) -> tuple[job.Attempt, ...]:
+    """Return the victims without those that a demand fits beside."""
+    needed = list(victims)
+    for victim in reversed(victims):
+        without = resource.subtract(room, victim.held)
+        if resource.fits(demand, without):
+            needed.remove(victim)
+            room = without
+    return tuple(needed)
+
+
 def find_move(
     tables: state.State, task: job.Task, load: fleet.TargetLoad
 ) -> Option | None:
--- a/mulberrywalk/core/step_reservation_review_test.py
+++ b/mulberrywalk/core/step_reservation_review_test.py
@@ -94,6 +94,20 @@
     assert len(stopping_on(cell)) == 2
 
 
+def test_work_whose_end_frees_nothing_that_is_short_is_not_stopped():
+    cell = SlowStopCell(targets=1)
+    short, filler, lasting = number_names(1, 3)
+    cell.submit_step(short, cell_test.step(1, 2000))
+    cell.submit_step(filler, cell_test.step(1, 2000, is_filler=True))
+    cell.pass_time(500)
+    cell.submit_step(lasting, cell_test.step(1, 3500, is_lasting=True))
+    cell.pass_time(1200)
+    stopping = [
+        one.task for one in cell.tables.attempts.values() if one.stopping
+    ]
+    assert stopping == [f'{short}.0.0.0']
+
+
 def test_work_below_its_floor_gets_the_room_that_is_made_for_it():
     cell = SlowStopCell(targets=1)
     for name in number_names(1, 3):
