Move a lasting task only where room can be made for it at once

find_move accepted a target where the moved task would wait for more urgent work to end by itself. A running task was stopped and then waited itself.

Test: test_lasting_task_is_not_moved_to_a_target_full_of_urgent_work

--- a/mulberrywalk/core/reclaim.py
+++ b/mulberrywalk/core/reclaim.py
@@ -123,11 +123,18 @@
         load.is_available()
         and load.target != attempt.target
         and (load.target in allowed or not is_advised)
-        and find_option(tables, task, load) is not None
+        and _is_room_soon(tables, task, load)
         for load in step_placement.find_eligible_targets(tables, step.step)
     )
 
 
+def _is_room_soon(
+    tables: state.State, task: job.Task, load: fleet.TargetLoad
+) -> bool:
+    option = find_option(tables, task, load)
+    return option is not None and not option.needs_wait
+
+
 def _add_held(
     room: resource.Resources, attempts: list[job.Attempt]
 ) -> resource.Resources:
--- a/mulberrywalk/core/step_reservation_review_test.py
+++ b/mulberrywalk/core/step_reservation_review_test.py
@@ -108,6 +108,24 @@
     assert stopping == [f'{short}.0.0.0']
 
 
+def test_lasting_task_is_not_moved_to_a_target_full_of_urgent_work():
+    cell = step_reservation_test.BusyCell(job.Urgency.CRITICAL)
+    other = f'{OTHER}.0.0'
+    lasting = f'{step_reservation_test.LASTING}.0.0'
+    cell.allowed = {other: {'t2'}, lasting: {'t2'}}
+    cell.submit_lasting(name=OTHER)
+    cell.pass_time(5000)
+    first = cell.tables.tasks[f'{other}.0']
+    assert first.state is job.TaskState.RUNNING
+    keep_running(cell)
+    tickets = cell.tables.steps[other].tickets
+    assert [one.target for one in tickets] == ['t2']
+    allow(cell, other, 't4')
+    cell.submit_lasting()
+    cell.pass_time(4000)
+    assert cell.tables.tasks[f'{other}.0'].attempt == first.attempt
+
+
 def test_work_below_its_floor_gets_the_room_that_is_made_for_it():
     cell = SlowStopCell(targets=1)
     for name in number_names(1, 3):
