Prepare nothing for cancelled lasting work on silent targets

Three attempts were stopped for a task that would not run again.

Test: test_no_work_is_stopped_for_a_cancelled_task_on_a_silent_target

--- a/mulberrywalk/core/silent_work.py
+++ b/mulberrywalk/core/silent_work.py
@@ -17,6 +17,8 @@
 ) -> Iterator[tuple[int, job.Attempt]]:
     """Yield the lasting attempts on silent targets, and their proved end.
 
+    Those of jobs that were cancelled or given up do not run again.
+
     The time is that at which the lease has certainly expired, in milliseconds
     since 1970.
     """
@@ -32,7 +34,10 @@
     tables: state.State, name: identity.AttemptId, expires_at: int
 ) -> Iterator[tuple[int, job.Attempt]]:
     attempt = tables.attempts[name]
-    if state.is_lasting(tables, tables.tasks[attempt.task]):
+    task = tables.tasks[attempt.task]
+    record = tables.jobs[task.job]
+    is_ending = record.is_cancelled or record.is_abandoned
+    if state.is_lasting(tables, task) and not is_ending:
         yield expires_at, attempt
 
 
--- a/mulberrywalk/core/step_reservation_review_test.py
+++ b/mulberrywalk/core/step_reservation_review_test.py
@@ -94,6 +94,20 @@
     assert len(stopping_on(cell)) == 2
 
 
+def test_no_work_is_stopped_for_a_cancelled_task_on_a_silent_target():
+    cell = step_reservation_test.BusyCell(job.Urgency.LOW)
+    cell.submit_lasting()
+    cell.pass_time(3000)
+    keep_running(cell)
+    lost = cell.tables.attempts[cell.lasting().attempt]
+    stopped_before = count_stopped(cell)
+    cell.apply(event.SilenceNoted, lost.session, 1400)
+    cell.apply(event.JobCancelled, step_reservation_test.LASTING)
+    cell.pass_time(4200)
+    assert cell.lasting().attempt == lost.attempt
+    assert count_stopped(cell) == stopped_before
+
+
 def test_work_whose_end_frees_nothing_that_is_short_is_not_stopped():
     cell = SlowStopCell(targets=1)
     short, filler, lasting = number_names(1, 3)
