Look at no full targets for a lasting step without an adviser

Since such a step, as long as it waits, listed all targets twice in each pass: once for candidates, once for a question that is never asked.

Test: test_lasting_step_that_is_not_overdue_looks_at_no_full_targets

--- a/mulberrywalk/core/step_placement.py
+++ b/mulberrywalk/core/step_placement.py
@@ -63,8 +63,10 @@
     is_unadvised = bool(step.asked_at) and not step.tickets
     if is_unadvised and advice.is_request_pending(tables, step):
         return False
+    is_advised = tables.jobs[step.job].specification.advice is not None
+    is_tried = needs.is_lasting and (is_advised or is_overdue)
     has_room = next(tables.fleet.most_free(needs.demand()), None) is not None
-    if not has_room and not needs.is_lasting:
+    if not has_room and not is_tried:
         return False
     numbers = list(tables.waiting.steps.get(name, ()))
     if needs.is_gang and len(numbers) < needs.count:
@@ -74,7 +76,7 @@
         count = _place_gang(tables, placement, numbers)
     else:
         count = _place_each(tables, placement, numbers)
-    if count < len(numbers):
+    if is_advised and count < len(numbers):
         advice.request_advice(
             tables, tables.steps[name], find_eligible_targets(tables, name)
         )
--- a/mulberrywalk/core/step_reservation_review_test.py
+++ b/mulberrywalk/core/step_reservation_review_test.py
@@ -5,6 +5,7 @@
 from . import (
     cell_test,
     event,
+    fleet,
     job,
     reclaim,
     step_reservation,
@@ -210,3 +211,22 @@
     monkeypatch.setattr(reclaim, 'find_option', count)
     cell.dispatch(100)
     assert len(looked_at) <= 4 * targets
+
+
+def test_lasting_step_that_is_not_overdue_looks_at_no_full_targets(monkeypatch):
+    cell = SlowStopCell(targets=3)
+    *running, waiting = number_names(1, 4)
+    for name in running:
+        cell.submit_step(name, cell_test.step(1, 3500, is_lasting=True))
+    cell.pass_time(500)
+    looked_at = []
+    matches = fleet.TargetLoad.matches
+
+    def count(load, pool, label):
+        looked_at.append(load.target)
+        return matches(load, pool, label)
+
+    monkeypatch.setattr(fleet.TargetLoad, 'matches', count)
+    cell.submit_step(waiting, cell_test.step(1, 3500, is_lasting=True))
+    cell.pass_time(500)
+    assert not looked_at
