Show that a wide lasting step reserves room although it fits

Without an adviser 64 tasks are placed in a pass. Those that are left are taken for tasks without room.

Test: test_wide_lasting_step_that_fits_reserves_nothing

--- a/mulberrywalk/core/step_reservation_review_test.py
+++ b/mulberrywalk/core/step_reservation_review_test.py
@@ -213,6 +213,16 @@
     assert len(looked_at) <= 4 * targets
 
 
+def test_wide_lasting_step_that_fits_reserves_nothing():
+    cell = SlowStopCell(targets=150)
+    name = number_names(1, 1)[0]
+    cell.submit_step(name, cell_test.step(150, 3500, is_lasting=True))
+    cell.tables.time += step_reservation.RESERVE_AFTER_MS
+    reserved = step_reservation.reserve(cell.tables)
+    step_reservation.release(cell.tables, reserved)
+    assert not reserved
+
+
 def test_lasting_step_that_is_not_overdue_looks_at_no_full_targets(monkeypatch):
     cell = SlowStopCell(targets=3)
     *running, waiting = number_names(1, 4)
