Show that room is given away while a lasting task waits for its retry

A refused or failed start delays the task by 0.2 to 1.6 s. A delayed task is not due, and a refused one has no ticket, so that the room made for it goes to other work, which is stopped again.

Test: test_room_made_for_a_lasting_task_is_kept_until_its_retry

--- a/mulberrywalk/core/step_reservation_review_test.py
+++ b/mulberrywalk/core/step_reservation_review_test.py
@@ -8,6 +8,7 @@
     fleet,
     job,
     reclaim,
+    resource,
     step_reservation,
     step_reservation_test,
     workflow_test,
@@ -240,3 +241,20 @@
     cell.submit_step(waiting, cell_test.step(1, 3500, is_lasting=True))
     cell.pass_time(500)
     assert not looked_at
+
+
+def test_room_made_for_a_lasting_task_is_kept_until_its_retry():
+    cell = step_reservation_test.BusyCell(job.Urgency.LOW)
+    cell.allowed = {f'{step_reservation_test.LASTING}.0.0': {'t2'}}
+    cell.pass_time(1000)
+    cell.submit_lasting()
+    while cell.lasting().attempt is None:
+        cell.pass_time(step_reservation_test.PASS_MS)
+    placed = cell.tables.attempts[cell.lasting().attempt]
+    cell.ends_at.pop(placed.attempt)
+    cell.report(placed, job.EndReason.REFUSED)
+    keep_running(cell)
+    cell.pass_time(step_reservation_test.PASS_MS)
+    assert cell.lasting().attempt is None
+    load = cell.tables.fleet.loads[placed.target]
+    assert resource.fits(placed.held, load.free)
