Hold what a lasting task may stop or move

Not held by a test as yet: idempotence of what is stopped, the quota of a team, targets reserved for gangs, and targets set aside as the last choice.

--- a/mulberrywalk/core/step_reservation_review_test.py
+++ b/mulberrywalk/core/step_reservation_review_test.py
@@ -258,3 +258,80 @@
     assert cell.lasting().attempt is None
     load = cell.tables.fleet.loads[placed.target]
     assert resource.fits(placed.held, load.free)
+
+
+def stopped_for_lasting_task(needs):
+    """Return the tasks stopped for a lasting one beside work on one target."""
+    cell = SlowStopCell(targets=1)
+    running, lasting = number_names(1, 2)
+    cell.submit_step(running, needs)
+    cell.pass_time(500)
+    assert cell.state_of(running) is job.TaskState.RUNNING
+    cell.submit_step(lasting, cell_test.step(1, 3500, is_lasting=True))
+    cell.pass_time(1500)
+    return [one.task for one in cell.tables.attempts.values() if one.stopping]
+
+
+def test_work_without_a_gang_is_stopped_for_a_lasting_task():
+    assert len(stopped_for_lasting_task(cell_test.step(2))) == 2
+
+
+def test_gang_is_not_stopped_for_a_lasting_task():
+    assert not stopped_for_lasting_task(cell_test.step(2, is_gang=True))
+
+
+def test_least_urgent_work_is_stopped_first_for_a_lasting_task():
+    cell = SlowStopCell(targets=1)
+    first, second, lasting = number_names(1, 3)
+    cell.submit_step(first, cell_test.step(1, 1500), job.Urgency.LOW)
+    cell.pass_time(500)
+    cell.submit_step(second, cell_test.step(1, 1500), job.Urgency.NORMAL)
+    cell.pass_time(1000)
+    cell.submit_step(
+        lasting,
+        cell_test.step(1, 2000, is_lasting=True),
+        job.Urgency.NORMAL,
+    )
+    cell.pass_time(1500)
+    stopping = [
+        one.task for one in cell.tables.attempts.values() if one.stopping
+    ]
+    assert stopping == [f'{first}.0.0.0']
+
+
+@pytest.mark.parametrize(
+    ('urgency', 'planned_absences', 'is_moved'),
+    [
+        (job.Urgency.HIGH, 0, True),
+        (job.Urgency.HIGH, 1, False),
+        (job.Urgency.CRITICAL, 0, False),
+    ],
+)
+def test_lasting_task_moves_only_if_no_rule_or_urgency_forbids_it(
+    urgency, planned_absences, is_moved
+):
+    cell = step_reservation_test.BusyCell(job.Urgency.LOW)
+    other = f'{OTHER}.0.0'
+    cell.allowed = {
+        other: {'t2', 't4'},
+        f'{step_reservation_test.LASTING}.0.0': {'t2'},
+    }
+    needs = cell_test.step(
+        1, 3500, is_lasting=True, planned_absences=planned_absences
+    )
+    cell.submit(
+        workflow_test.workflow(
+            needs,
+            job=OTHER,
+            request_id=OTHER,
+            urgency=urgency,
+            advice=workflow_test.TERMS,
+        )
+    )
+    cell.pass_time(2000)
+    first = cell.tables.tasks[f'{other}.0']
+    assert cell.tables.attempts[first.attempt].target == 't2'
+    cell.submit_lasting()
+    cell.pass_time(4000)
+    moved = cell.tables.tasks[f'{other}.0']
+    assert (moved.attempt != first.attempt) is is_moved
