--- a/mulberrywalk/core/reclaim.py
+++ b/mulberrywalk/core/reclaim.py
@@ -41,12 +41,27 @@
         victims.append(victim)
         room = _add_held(room, [victim])
     if resource.fits(demand, room):
-        return Option(load, tuple(victims))
+        return Option(load, _leave_out_needless(demand, room, victims))
     if resource.fits(demand, _future_room(tables, load)):
         return Option(load, (), needs_wait=True)
     return None
 
 
+def _leave_out_needless(
+    demand: resource.Resources,
+    room: resource.Resources,
+    victims: list[job.Attempt],
+) -> tuple[job.Attempt, ...]:
+    """Return the victims without those that a demand fits beside."""
+    needed = list(victims)
+    for victim in reversed(victims):
+        without = resource.subtract(room, victim.held)
+        if resource.fits(demand, without):
+            needed.remove(victim)
+            room = without
+    return tuple(needed)
+
+
 def find_move(
     tables: state.State, task: job.Task, load: fleet.TargetLoad
 ) -> Option | None:
@@ -108,11 +123,18 @@
         load.is_available()
         and load.target != attempt.target
         and (load.target in allowed or not is_advised)
-        and find_option(tables, task, load) is not None
+        and _is_room_soon(tables, task, load)
         for load in step_placement.find_eligible_targets(tables, step.step)
     )
 
 
+def _is_room_soon(
+    tables: state.State, task: job.Task, load: fleet.TargetLoad
+) -> bool:
+    option = find_option(tables, task, load)
+    return option is not None and not option.needs_wait
+
+
 def _add_held(
     room: resource.Resources, attempts: list[job.Attempt]
 ) -> resource.Resources:
