Bound what the reservation for lasting work takes and costs

At most 16 targets are looked at for a task, four of them for a move, with six alternatives each; eight reservations a pass. - The least urgent lasting work took the whole cell from the most urgent. Work that has never run goes before more urgent work only while its urgency uses less than half of the cell. - Sixteen lasting steps that fit nowhere kept all others out for good. Eight of the sixteen steps of a pass take turns. - Room made for work below its floor was given to lasting work, again and again. There are no reservations while such work is overdue. - Room was given away during a retry delay, and other work stopped for it again. Tasks whose delay ends within a second are reserved for, and targets they were placed on before count as allowed. - Two steps counted on the same ending work. The whole demand is withheld, so that what is free may be negative within a pass; several tasks of a step may wait for one target. - A wide step that fits reserved room for what a pass does not place. Nothing is reserved after a placement.

test_room_made_for_a_lasting_task_is_kept_until_its_retry let the target confirm the start before it refused it, which no target can; the start stays unconfirmed now.

--- a/mulberrywalk/core/preemption.py
+++ b/mulberrywalk/core/preemption.py
@@ -47,6 +47,25 @@
         lifecycle.stop(tables, victim, job.StopReason.PREEMPTED)
 
 
+def is_due(tables: state.State) -> bool:
+    """Return whether a waiting task may have work stopped for it.
+
+    Steps of workflows never have.
+    """
+    return any(
+        _is_overdue(tables, key, position.task)
+        for key in tables.waiting.queues
+        for position in tables.waiting.peek(key, 1)
+    )
+
+
+def _is_overdue(tables: state.State, key: waiting.QueueKey, name: str) -> bool:
+    task = tables.tasks.get(identity.TaskId(name))
+    if task is None or share.is_above_floor(tables, _URGENCIES[key.rank]):
+        return False
+    return tables.time - task.waiting_since >= _MIN_WAIT_MS
+
+
 def choose_victim(
     tables: state.State,
     urgency: job.Urgency,
--- a/mulberrywalk/core/reclaim.py
+++ b/mulberrywalk/core/reclaim.py
@@ -11,14 +11,19 @@
 import dataclasses
 import functools
 
-from . import fleet, job, resource, state, step_placement
+from . import absence_target, fleet, job, resource, state, step_placement
+
+# Limits on the targets that are looked at for a move: those to free, and those
+# that the moved task may run on instead.
+MAX_MOVE_TARGETS = 4
+_MAX_ALTERNATIVES = 6
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Option:
     """A target on which a task will fit once its victims have ended.
 
-    With needs_wait there are no victims: running work ends by itself.
+    With needs_wait, other work there has to end by itself as well.
     """
 
     load: fleet.TargetLoad
@@ -117,17 +122,24 @@
     is_more_urgent = job.rank(tables.specification(task).urgency) < rank
     if needs.planned_absences or is_more_urgent:
         return False
-    allowed = {ticket.target for ticket in step.tickets}
-    is_advised = tables.specification(task).advice is not None
+    names = absence_target.find_allowed(tables, task)
+    loads = step_placement.find_eligible_targets(tables, step.step, names)
+    others = [
+        load
+        for load in loads
+        if load.is_available() and load.target != attempt.target
+    ]
+    others.sort(key=most_free_first)
     return any(
-        load.is_available()
-        and load.target != attempt.target
-        and (load.target in allowed or not is_advised)
-        and _is_room_soon(tables, task, load)
-        for load in step_placement.find_eligible_targets(tables, step.step)
+        _is_room_soon(tables, task, load) for load in others[:_MAX_ALTERNATIVES]
     )
 
 
+def most_free_first(load: fleet.TargetLoad) -> tuple[int, str]:
+    """Return a sort key of targets by their free processors."""
+    return -load.free.millicores, load.target
+
+
 def _is_room_soon(
     tables: state.State, task: job.Task, load: fleet.TargetLoad
 ) -> bool:
--- a/mulberrywalk/core/step_reservation.py
+++ b/mulberrywalk/core/step_reservation.py
@@ -14,16 +14,17 @@
 from __future__ import annotations
 
 import dataclasses
-import itertools
 from collections.abc import Iterator
 
 from . import (
     absence,
+    absence_target,
     effect,
     fleet,
     identity,
     job,
     lifecycle,
+    preemption,
     reclaim,
     resource,
     share,
@@ -37,9 +38,16 @@
 RESERVE_AFTER_MS = 1000
 # Time to stop other work before the lease of a silent target has expired.
 PREPARE_MS = 1000
-# Limits on one pass, so that other work goes on when much lasting work waits.
+# Limits on one pass, so that other work goes on when much lasting work waits,
+# and so that a pass stays short on a large fleet.
 _MAX_STEPS = 16
+_MAX_RESERVATIONS = 8
+_MAX_TARGETS = 16
 _MAX_RESERVED_SHARE = resource.PARTS_PER_MILLION // 8
+# Lasting work that has never run goes before more urgent work up to this share.
+_MAX_URGENCY_SHARE = resource.PARTS_PER_MILLION // 2
+# Steps beyond the limit take turns for this long each.
+_TURN_MS = 100
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -49,31 +57,41 @@
     step: identity.StepId
     load: fleet.TargetLoad
     demand: resource.Resources
-    withheld: resource.Resources
 
 
 def reserve(tables: state.State) -> list[Reservation]:
     """Place overdue lasting tasks; withhold room for those that remain.
 
-    The caller releases the reservations at the end of the pass.
+    The caller releases the reservations at the end of the pass. There are none
+    while room is made for work below its floor, which would be given away.
     """
     reserved: list[Reservation] = []
     due = _find_due(tables)
-    for name in _order_steps(due):
-        if name in tables.waiting.steps:
-            step_placement.place(tables, name, is_overdue=True)
-            tables.waiting.exhausted_steps.add(name)
-        _reserve_for_step(tables, name, due, reserved)
+    if not due or preemption.is_due(tables):
+        return reserved
+    for name in _order_steps(tables, due):
+        if not _place_overdue(tables, name):
+            _reserve_for_step(tables, name, due, reserved)
     return reserved
 
 
 def release(tables: state.State, reserved: list[Reservation]) -> None:
     """Give withheld room back to its targets."""
     for one in reserved:
-        free = resource.add(one.load.free, one.withheld)
+        free = resource.add(one.load.free, one.demand)
         tables.fleet.update(one.load, free=free)
 
 
+def _place_overdue(tables: state.State, name: identity.StepId) -> bool:
+    """Place the waiting tasks of a step; return whether any was placed."""
+    if name not in tables.waiting.steps:
+        return False
+    is_placed = step_placement.place(tables, name, is_overdue=True)
+    if name in tables.waiting.steps and not is_placed:
+        tables.waiting.exhausted_steps.add(name)
+    return is_placed
+
+
 def _find_due(tables: state.State) -> dict[identity.TaskId, int]:
     """Return the tasks to reserve room for, and the time that orders them.
 
@@ -100,16 +118,41 @@
 
 
 def _is_waiting(tables: state.State, task: job.Task) -> bool:
-    if task.attempt is not None or task.not_before > tables.time:
+    """Return whether a task waits, or will once a short retry delay is over."""
+    if task.attempt is not None or task.not_before > tables.time + PREPARE_MS:
         return False
-    return not share.is_over_quota(tables, tables.specification(task).team)
+    specification = tables.specification(task)
+    if share.is_over_quota(tables, specification.team):
+        return False
+    return bool(task.first_started_at) or _may_go_first(tables, specification)
+
+
+def _may_go_first(
+    tables: state.State, specification: job.Specification
+) -> bool:
+    """Return whether work that has never run may go before other work."""
+    rank = job.rank(specification.urgency)
+    if all(key.rank >= rank for key in tables.waiting.queues):
+        return True
+    used = share.of_urgency(tables, specification.urgency)
+    return used < _MAX_URGENCY_SHARE
+
 
+def _order_steps(
+    tables: state.State, due: dict[identity.TaskId, int]
+) -> list[identity.StepId]:
+    """Return the steps of tasks in the order of their times.
 
-def _order_steps(due: dict[identity.TaskId, int]) -> list[identity.StepId]:
-    """Return the steps of tasks in the order of their times."""
+    Of more than _MAX_STEPS, the first half is always returned and the others
+    take turns, so that steps without any target do not keep them out.
+    """
     tasks = sorted(due, key=lambda name: (due[name], name))
-    steps = dict.fromkeys(_step_of(name) for name in tasks)
-    return list(itertools.islice(steps, _MAX_STEPS))
+    steps = list(dict.fromkeys(_step_of(name) for name in tasks))
+    always = steps[: _MAX_STEPS // 2]
+    others = steps[_MAX_STEPS // 2 :]
+    turn = tables.time // _TURN_MS % max(1, len(others))
+    in_turn = others[turn:] + others[:turn]
+    return always + in_turn[: _MAX_STEPS - len(always)]
 
 
 def _step_of(name: identity.TaskId) -> identity.StepId:
@@ -123,11 +166,14 @@
     reserved: list[Reservation],
 ) -> None:
     """Reserve room for the tasks of a step that are still due."""
-    for due_name in sorted(due):
-        task = tables.tasks[due_name]
-        if task.step_id() != name or _is_placed(tables, task):
-            continue
-        if not _is_within_share(tables, task, reserved):
+    tasks = (tables.tasks[due_name] for due_name in sorted(due))
+    remaining = [
+        task
+        for task in tasks
+        if task.step_id() == name and not _is_placed(tables, task)
+    ]
+    for task in remaining:
+        if not _is_within_limits(tables, task, reserved):
             return
         option = _choose_option(tables, task, reserved)
         if option is None:
@@ -143,26 +189,30 @@
     return tables.attempts[task.attempt].target not in tables.silent
 
 
-def _is_within_share(
+def _is_within_limits(
     tables: state.State, task: job.Task, reserved: list[Reservation]
 ) -> bool:
-    """Return whether the share that may be reserved holds one more task.
+    """Return whether one more task may be reserved for in this pass.
 
-    The first one is always held, however large it is.
+    The first one always is, however large it is.
     """
     total = tables.demand(task)
     for one in reserved:
         total = resource.add(total, one.demand)
     used = resource.dominant_share(total, tables.fleet.total)
-    return not reserved or used <= _MAX_RESERVED_SHARE
+    is_within_share = not reserved or used <= _MAX_RESERVED_SHARE
+    return is_within_share and len(reserved) < _MAX_RESERVATIONS
 
 
 def _choose_option(
     tables: state.State, task: job.Task, reserved: list[Reservation]
 ) -> reclaim.Option | None:
-    allowed = list(_find_allowed(tables, task, reserved))
+    allowed = _find_allowed(tables, task, reserved)
     fitting = (reclaim.find_option(tables, task, load) for load in allowed)
-    moves = (reclaim.find_move(tables, task, load) for load in allowed)
+    moves = (
+        reclaim.find_move(tables, task, load)
+        for load in allowed[: reclaim.MAX_MOVE_TARGETS]
+    )
     return _find_best(tables, fitting) or _find_best(tables, moves)
 
 
@@ -175,16 +225,16 @@
 
 def _find_allowed(
     tables: state.State, task: job.Task, reserved: list[Reservation]
-) -> Iterator[fleet.TargetLoad]:
-    """Yield the targets that a task may run on, once each for its step."""
+) -> list[fleet.TargetLoad]:
+    """Return the targets that a task may run on, the most free first."""
     step = tables.steps[task.step_id()]
-    is_advised = tables.specification(task).advice is not None
-    allowed = {ticket.target for ticket in step.tickets}
-    names = allowed if is_advised else None
-    taken = {one.load.target for one in reserved if one.step == step.step}
-    for load in step_placement.find_eligible_targets(tables, step.step, names):
-        if load.target not in taken:
-            yield load
+    names = absence_target.find_allowed(tables, task)
+    taken: set[identity.TargetId] = set()
+    if tables.step_specification(step).per_target_limit:
+        taken = {one.load.target for one in reserved if one.step == step.step}
+    loads = step_placement.find_eligible_targets(tables, step.step, names)
+    remaining = [load for load in loads if load.target not in taken]
+    return sorted(remaining, key=reclaim.most_free_first)[:_MAX_TARGETS]
 
 
 def _rank(
@@ -206,12 +256,14 @@
 def _withhold(
     tables: state.State, task: job.Task, load: fleet.TargetLoad
 ) -> Reservation:
-    """Take up to the demand of a task from what is free on a target."""
+    """Take the demand of a task from what is free on a target.
+
+    What is free becomes negative where other work has to end first, so that no
+    other reservation counts on the same work.
+    """
     demand = tables.demand(task)
-    available = resource.elementwise_min(demand, load.free)
-    withheld = resource.elementwise_max(resource.NOTHING, available)
-    tables.fleet.update(load, free=resource.subtract(load.free, withheld))
-    return Reservation(task.step_id(), load, demand, withheld)
+    tables.fleet.update(load, free=resource.subtract(load.free, demand))
+    return Reservation(task.step_id(), load, demand)
 
 
 def _stop_victims(
--- a/mulberrywalk/core/step_reservation_review_test.py
+++ b/mulberrywalk/core/step_reservation_review_test.py
@@ -246,6 +246,7 @@
 def test_room_made_for_a_lasting_task_is_kept_until_its_retry():
     cell = step_reservation_test.BusyCell(job.Urgency.LOW)
     cell.allowed = {f'{step_reservation_test.LASTING}.0.0': {'t2'}}
+    cell.unconfirmed = {f'{step_reservation_test.LASTING}.0.0.0'}
     cell.pass_time(1000)
     cell.submit_lasting()
     while cell.lasting().attempt is None:
--- a/mulberrywalk/core/step_reservation_test.py
+++ b/mulberrywalk/core/step_reservation_test.py
@@ -33,6 +33,8 @@
         self.ends_at = {}
         self.names = iter(f'{number:016x}' for number in range(10_000))
         self.requests = []
+        # Tasks whose starts are not confirmed.
+        self.unconfirmed = set()
         # The targets that steps may run on, ALLOWED for all others.
         self.allowed = {}
         self.runs_ms = itertools.cycle(SHORT_RUNS_MS)
@@ -47,7 +49,8 @@
             effects = self.dispatch(PASS_MS)
             self.requests = workflow_test.advice_requests(effects)
             for attempt in workflow_test.started_attempts(effects):
-                self.start(attempt)
+                if attempt.task not in self.unconfirmed:
+                    self.start(attempt)
                 self.ends_at[attempt.attempt] = self.now + next(self.runs_ms)
             for attempt in workflow_test.stopped_attempts(effects):
                 self.ends_at[attempt.attempt] = self.now
