Complete a task whose end is listed after its session was lost

Cause: the target completed the task at 54.2 s; no look told the leader before it took the session for lost at 57.8 s. The next session of the same life listed the end, the leader knew no such attempt, acknowledged the end all the same, and placed the task again at 65.7 s.

Change: an end as completed of an attempt that was lost completes its task, if that still waits. A task that was placed again meanwhile goes on: what its second run does can't be taken back. Gangs and lasting work run again as before.

Ruled out: to leave the end without acknowledgement, since a cursor can't pass it; an earlier lease end, since the target's lease had not run out.

--- a/mulberrywalk/core/session.py
+++ b/mulberrywalk/core/session.py
@@ -15,6 +15,7 @@
     health,
     identity,
     job,
+    late_end,
     lifecycle,
     outcome,
     queueing,
@@ -159,6 +160,8 @@
     _record_each(tables, received, received.started, lifecycle.record_start)
     _record_each(tables, received, received.saved, lifecycle.record_checkpoint)
     _record_each(tables, received, received.ended, lifecycle.record_end)
+    for ended in received.ended:
+        late_end.record(tables, ended)
     if received.ended:
         names = tuple(one.attempt for one in received.ended)
         tables.emit(effect.AcknowledgeEnds(received.session, names))
--- a/mulberrywalk/core/workflow.py
+++ b/mulberrywalk/core/workflow.py
@@ -177,7 +177,7 @@
     step = tables.steps[task.step_id()]
     needs = tables.step_specification(step)
     if _is_completed(needs, step, attempt, ended.reason):
-        _complete_task(tables, task, attempt, needs)
+        complete_task(tables, task, attempt)
     elif record.is_cancelled or record.is_abandoned:
         lifecycle.finish_task(tables, task, job.TaskState.CANCELLED)
     else:
@@ -297,13 +297,12 @@
     return needs.is_gang and step.completed_run == attempt.number
 
 
-def _complete_task(
-    tables: state.State,
-    task: job.Task,
-    attempt: job.Attempt,
-    needs: job.StepSpecification,
+def complete_task(
+    tables: state.State, task: job.Task, attempt: job.Attempt
 ) -> None:
+    """Complete a task by an attempt; its step ends with the last task."""
     step = tables.steps[task.step_id()]
+    needs = tables.step_specification(step)
     step = msgspec.structs.replace(step, unfinished=step.unfinished - 1)
     if needs.is_gang:
         step = msgspec.structs.replace(step, completed_run=attempt.number)
