--- a/mulberrywalk/core/admission.py
+++ b/mulberrywalk/core/admission.py
@@ -10,6 +10,7 @@
     event,
     identity,
     job,
+    job_shape,
     lifecycle,
     outcome,
     queueing,
@@ -164,7 +165,7 @@
             outcome.RefusalReason.REQUEST_REUSED,
             f'there is a job {specification.job} already',
         )
-    fault = workflow.find_field_error(specification)
+    fault = job_shape.find_field_error(specification)
     if fault is not None:
         return outcome.NotRun(
             outcome.RefusalReason.INVALID_JOB,
--- a/mulberrywalk/entry/http_api.py
+++ b/mulberrywalk/entry/http_api.py
@@ -11,7 +11,7 @@
 import msgspec
 from starlette import applications, requests, responses, routing, websockets
 
-from ..core import identity, job, workflow
+from ..core import identity, job, job_shape
 from ..telemetry import journal, metric
 from ..transport import channel, codec, decoding, wire
 from . import connection, http_response, upstream
@@ -311,7 +311,7 @@
     specification = decode(encoded, job.Specification)
     if isinstance(specification, http_response.InputError):
         return specification
-    fault = workflow.find_field_error(specification)
+    fault = job_shape.find_field_error(specification)
     if fault is not None:
         return http_response.InputError(_BAD_REQUEST, *fault)
     return specification
--- a/mulberrywalk/entry/polled_test.py
+++ b/mulberrywalk/entry/polled_test.py
@@ -7,7 +7,14 @@
 from ..core import event, identity, job
 from ..telemetry import clock, cost, journal
 from ..transport import wire
-from . import polled, session, start_deadline, target_client, upstream
+from . import (
+    polled,
+    polled_targets,
+    session,
+    start_deadline,
+    target_client,
+    upstream,
+)
 
 TARGET = identity.TargetId('t1')
 SESSION = identity.SessionId('s1')
@@ -451,7 +458,9 @@
     event_log = journal.Journal(journal.Origin('e', 'd'))
 
     async def run():
-        targets = polled.PolledTargets(target, leader, sessions, event_log)
+        targets = polled_targets.PolledTargets(
+            target, leader, sessions, event_log
+        )
         async with anyio.create_task_group() as group:
             group.start_soon(targets.run)
             await anyio.sleep(0.01)
--- a/mulberrywalk/platform/entry.py
+++ b/mulberrywalk/platform/entry.py
@@ -9,7 +9,7 @@
 
 import anyio
 
-from ..entry import adviser, polled, program
+from ..entry import adviser, polled_targets, program
 from ..telemetry import journal
 from . import caller_api, http, setting, worker_client
 
@@ -73,7 +73,7 @@
         if components is None:
             raise AssertionError('run was called before extend')
         client_pool = worker_client.ClientPool()
-        polled_targets = polled.PolledTargets(
+        targets = polled_targets.PolledTargets(
             worker_client.WorkerClient(client_pool, components.event_log),
             components.leader,
             components.sessions,
@@ -87,7 +87,7 @@
             components.event_log,
         )
         async with anyio.create_task_group() as group:
-            group.start_soon(polled_targets.run)
+            group.start_soon(targets.run)
             group.start_soon(advice_queue.run)
             group.start_soon(watch_settings, self._path, components)
 
