--- a/mulberrywalk/core/silent_work.py
+++ b/mulberrywalk/core/silent_work.py
@@ -15,12 +15,10 @@
 def find_attempts(
     tables: state.State,
 ) -> Iterator[tuple[int, job.Attempt]]:
-    """Yield the lasting attempts on silent targets, and their proved end.
-
-    Those of jobs that were cancelled or given up do not run again.
+    """Yield when each lasting attempt on a silent target has surely ended.
 
     The time is that at which the lease has certainly expired, in milliseconds
-    since 1970.
+    since 1970. Attempts of jobs that were cancelled or given up are left out.
     """
     for name in sorted(tables.silent):
         session = tables.targets[name].session
