Let the engine's tests wait by rounds, not by the disk's time

Cause: lead() read the real clock, so one sync that took longer than the deadline failed it, although the engine was right. Shown by delaying each fdatasync by 5.7 s: the old test fails (240093 < 239141), the new one passes. Delays of 1.5 and 2.6 s a sync fail neither: only one long sync does. Change: the engine's clock advances between rounds; the bound stays 5,000 ms of that clock.

--- a/mulberrywalk/replica/engine_test.py
+++ b/mulberrywalk/replica/engine_test.py
@@ -16,6 +16,8 @@
 ENTRIES = 400
 # Each reading of the clock advances it by the cost of an expensive entry.
 CLOCK_STEP_MS = 15
+# The time between two rounds of an engine that waits for its election.
+ROUND_MS = 10
 
 
 def entry(index):
@@ -108,23 +110,27 @@
 
 
 @pytest.fixture
-def leading_engine(tmp_path):
+def round_clock(monkeypatch):
+    """A clock that advances only between rounds, however slow the disk is."""
+    now = [clock.monotonic_ms()]
+    monkeypatch.setattr(engine.clock, 'monotonic_ms', lambda: now[0])
+    return now
+
+
+@pytest.fixture
+def leading_engine(tmp_path, round_clock):
     member = message.Member(message.ReplicaId('a'), 'a:1', 'dc', voter=True)
     storage.create_identity(tmp_path, message.Membership((member,)), 'a')
     return open_engine(tmp_path)
 
 
-def lead(replica_engine):
+def lead(replica_engine, round_clock):
     """Run an engine until it leads and has applied all entries."""
-
-    async def run():
-        deadline = clock.monotonic_ms() + 5000
-        while not replica_engine.is_serving():
-            assert clock.monotonic_ms() < deadline
-            await replica_engine.run_round()
-            await anyio.sleep(0.01)
-
-    anyio.run(run)
+    deadline = round_clock[0] + 5000
+    while not replica_engine.is_serving():
+        assert round_clock[0] < deadline
+        round_clock[0] += ROUND_MS
+        run_rounds(replica_engine, 1)
 
 
 def session_opened(**changes):
@@ -153,9 +159,9 @@
 
 @pytest.mark.parametrize('invalid_event', INVALID_EVENTS)
 def test_only_the_event_that_the_log_cannot_hold_is_refused(
-    leading_engine, invalid_event
+    leading_engine, round_clock, invalid_event
 ):
-    lead(leading_engine)
+    lead(leading_engine, round_clock)
     before, refused, after = [], [], []
     leading_engine.propose(session_opened(), before.append)
     leading_engine.propose(invalid_event, refused.append)
@@ -168,21 +174,21 @@
 
 @pytest.mark.parametrize('invalid_event', INVALID_EVENTS)
 def test_replica_restarts_after_it_refused_an_event(
-    leading_engine, invalid_event, tmp_path
+    leading_engine, round_clock, invalid_event, tmp_path
 ):
-    lead(leading_engine)
+    lead(leading_engine, round_clock)
     leading_engine.propose(invalid_event, lambda _: None)
     leading_engine.propose(session_opened(), lambda _: None)
     run_rounds(leading_engine, 3)
     restarted = open_engine(tmp_path)
-    lead(restarted)
+    lead(restarted, round_clock)
     assert len(restarted.tables.sessions) == 1
 
 
 def test_round_waits_while_the_disk_refuses_to_write(
-    leading_engine, tmp_path, monkeypatch
+    leading_engine, round_clock, tmp_path, monkeypatch
 ):
-    lead(leading_engine)
+    lead(leading_engine, round_clock)
     monkeypatch.setattr(retry, 'DELAY_S', 0.01)
     sync = storage.os.fdatasync
     refusals = [OSError(5, 'Input/output error') for _ in range(3)]
@@ -199,7 +205,7 @@
     assert not refusals
     assert isinstance(answers[0], outcome.SessionGranted)
     restarted = open_engine(tmp_path)
-    lead(restarted)
+    lead(restarted, round_clock)
     assert len(restarted.tables.sessions) == 1
 
 
