--- a/mulberrywalk/replica/engine_test.py
+++ b/mulberrywalk/replica/engine_test.py
@@ -111,7 +111,7 @@
 
 @pytest.fixture
 def round_clock(monkeypatch):
-    """A clock that advances only between rounds, however slow the disk is."""
+    """Return a clock that advances only between rounds of the engine."""
     now = [clock.monotonic_ms()]
     monkeypatch.setattr(engine.clock, 'monotonic_ms', lambda: now[0])
     return now
