--- a/mulberrywalk/platform/worker_client_test.py
+++ b/mulberrywalk/platform/worker_client_test.py
@@ -1,7 +1,8 @@
-"""Calls to invalid addresses and replies that are invalid or too large."""
+"""Calls to invalid addresses, invalid or too large replies, and their cost."""
 
 import contextlib
 import gzip
+import sys
 import threading
 from http import server as http_server
 
@@ -129,3 +130,23 @@
     server.extra_headers = extra_headers
     server.body = b'zz\r\n'
     assert isinstance(poll_server(server), target_client.CallResult)
+
+
+class MissingModuleFinder:
+    """Records the modules that no other finder has found."""
+
+    def __init__(self):
+        self.names = []
+
+    def find_spec(self, name, path, target=None):
+        self.names.append(name)
+
+
+def test_call_searches_for_no_missing_module(server, monkeypatch):
+    """A failed import is not cached, so it would be repeated on each call."""
+    server.body = LISTING
+    poll_server(server)
+    finder = MissingModuleFinder()
+    monkeypatch.setattr(sys, 'meta_path', [*sys.meta_path, finder])
+    poll_server(server)
+    assert not finder.names
