Import neither command line nor replica when an entry of the platform starts

Cause: the platform's wire took TargetHeartbeat from replica/registry.py, and the programs held their command lines beside their composition. Ruled out: a slow disk (all was cached).

--- a/mulberrywalk/core/event.py
+++ b/mulberrywalk/core/event.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 from typing import Any, TypeAlias
 
 import msgspec
@@ -49,6 +50,20 @@
     lease_ms: int = _LEASE_MS
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class TargetHeartbeat:
+    """One announcement of a target.
+
+    sequence numbers the heartbeats of one incarnation of the target;
+    remaining_ms is the minimum time that a leaving target stays.
+    """
+
+    announcement: Announcement
+    sequence: int
+    is_leaving: bool
+    remaining_ms: int | None = None
+
+
 class SessionOpened(msgspec.Struct, frozen=True, tag=True):
     """A target opens a session."""
 
--- a/mulberrywalk/entry/program.py
+++ b/mulberrywalk/entry/program.py
@@ -6,21 +6,18 @@
 import dataclasses
 import signal
 import sys
-from typing import Annotated, Any
+from typing import Any
 
 import anyio
-import typer
 from anyio.abc import TaskGroup
 from hypercorn import asyncio as hypercorn_server
 from hypercorn import config as hypercorn_config
 
-from ..telemetry import cost, journal, metric, retry, setting
+from ..telemetry import cost, journal, metric, retry
 from . import connection, http_api, protocol, session, upstream
 
 _EXIT_FAILURE = 1
 _POLL_INTERVAL_S = 0.05
-_LOG_FORMATS = frozenset(('text', 'json'))
-_MAX_DURATION_MS = 3_600_000
 _MS_PER_S = 1000
 _IDLE_POLLS_TO_STOP = 4
 _BACKLOG = 1024
@@ -29,8 +26,6 @@
 # An ASGI application, as the HTTP server accepts it.
 Application = Any
 
-application = typer.Typer(add_completion=False)
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Settings:
@@ -48,49 +43,6 @@
     keep_alive_s: int = _KEEP_ALIVE_S
 
 
-@application.command()
-def run(
-    name: Annotated[str, typer.Option(envvar='MULBERRYWALK_NAME')] = '',
-    data_centre: Annotated[
-        str, typer.Option(envvar='MULBERRYWALK_DATA_CENTRE')
-    ] = '',
-    listen: Annotated[str, typer.Option(envvar='MULBERRYWALK_LISTEN')] = '',
-    replicas: Annotated[str, typer.Option(envvar='MULBERRYWALK_REPLICAS')] = '',
-    statsd: Annotated[str, typer.Option(envvar='MULBERRYWALK_STATSD')] = '',
-    log_format: Annotated[
-        str, typer.Option(envvar='MULBERRYWALK_LOG_FORMAT')
-    ] = 'text',
-    notice_ms: Annotated[
-        str, typer.Option(envvar='MULBERRYWALK_NOTICE_MS')
-    ] = '2000',
-    drain_limit_ms: Annotated[
-        str, typer.Option(envvar='MULBERRYWALK_DRAIN_LIMIT_MS')
-    ] = '330000',
-) -> None:
-    """Run an entry: HTTP for callers and operators, sessions of targets.
-
-    On SIGTERM the entry reports that it is not ready for the notice period,
-    then waits for requests in progress up to the drain limit. A second signal
-    stops it at once.
-    """
-    checker = setting.Checker()
-    settings = Settings(
-        name=checker.name('--name', name),
-        data_centre=checker.name('--data-centre', data_centre),
-        listen=checker.address('--listen', listen),
-        replicas=checker.addresses('--replicas', replicas),
-        statsd=checker.optional_address('--statsd', statsd),
-        log_format=checker.choice('--log-format', log_format, _LOG_FORMATS),
-        notice_ms=checker.number('--notice-ms', notice_ms, 0, _MAX_DURATION_MS),
-        drain_limit_ms=checker.number(
-            '--drain-limit-ms', drain_limit_ms, 0, _MAX_DURATION_MS
-        ),
-    )
-    checker.exit_on_errors()
-    journal.open_log(is_json=settings.log_format == 'json')
-    run_to_end(settings)
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Components:
     """The components of an entry that an extension may use."""
@@ -254,12 +206,3 @@
             is_idle = not (serving_state.in_progress or targets.count())
             idle_polls = idle_polls + 1 if is_idle else 0
     stop.set()
-
-
-def main() -> None:
-    """Run the command line."""
-    application()
-
-
-if __name__ == '__main__':
-    main()
--- a/mulberrywalk/platform/wire.py
+++ b/mulberrywalk/platform/wire.py
@@ -9,7 +9,6 @@
 
 from ..core import configuration, event, identity, job, resource
 from ..entry import target_client
-from ..replica import registry
 from ..transport import decoding
 from . import bound
 
@@ -233,7 +232,7 @@
 
 def read_heartbeat(
     name: str, body: bytes, lease_ms: int
-) -> registry.TargetHeartbeat:
+) -> event.TargetHeartbeat:
     """Decode the heartbeat of a worker; raises WireError."""
     with decoding.translate_errors(WireError):
         return _to_target_heartbeat(
@@ -243,7 +242,7 @@
 
 def _to_target_heartbeat(
     name: str, decoded: Heartbeat, lease_ms: int
-) -> registry.TargetHeartbeat:
+) -> event.TargetHeartbeat:
     if decoded.state not in {_READY, _DRAINING}:
         raise WireError('the state is not known')
     if not bound.is_address(decoded.address):
@@ -268,7 +267,7 @@
         born_at=decoded.born,
         lease_ms=lease_ms,
     )
-    return registry.TargetHeartbeat(
+    return event.TargetHeartbeat(
         announcement,
         decoded.seq,
         is_leaving=decoded.state == _DRAINING,
--- a/mulberrywalk/replica/program.py
+++ b/mulberrywalk/replica/program.py
@@ -10,21 +10,19 @@
 import signal
 import sys
 from types import MappingProxyType
-from typing import Annotated
 
 import anyio
 import msgspec
-import typer
 from anyio.abc import TaskGroup
 
 from ..consensus import message, node
 from ..storage import disk as storage
-from ..telemetry import cost, journal, metric, retry, setting
+from ..telemetry import cost, journal, metric, retry
 from ..transport import channel, wire
 from . import engine, leader, peer, status
 
 _EXIT_FAILURE = 1
-_EXIT_STORAGE = 3
+EXIT_STORAGE = 3
 # How long the server may take to close its streams when the process ends.
 _SERVER_STOP_TIMEOUT_S = 1.0
 _HANDOVER_TIMEOUT_S = 4.0
@@ -32,11 +30,6 @@
 _JOIN_INTERVAL_S = 0.2
 # Silence of the leader after which a replica asks to join again.
 _LEADER_TIMEOUT_MS = 2500
-_LOG_FORMATS = frozenset(('text', 'json'))
-_MAX_DURATION_MS = 86_400_000
-_MAX_ENTRIES = 10_000_000
-
-application = typer.Typer(add_completion=False, no_args_is_help=True)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -55,100 +48,6 @@
     snapshot_entries: int
 
 
-@application.command()
-def init(
-    folder: Annotated[str, typer.Option('--data', envvar='MULBERRYWALK_DATA')],
-    name: Annotated[str, typer.Option(envvar='MULBERRYWALK_NAME')],
-    founders: Annotated[str, typer.Option(envvar='MULBERRYWALK_FOUNDERS')],
-) -> None:
-    """Write the identity of a founding voter into an empty data folder.
-
-    Founders are NAME=HOST:PORT@DATA_CENTRE with commas between them, the
-    same list on each. Run it once, when a cell is first set up, and never
-    to replace a lost disk.
-    """
-    checker = setting.Checker()
-    members = tuple(
-        parse_founder(checker, part.strip()) for part in founders.split(',')
-    )
-    if name not in {member.identity for member in members}:
-        checker.errors.append(f'--name: {name!r} is not among the founders')
-    checker.exit_on_errors()
-    try:
-        storage.create_identity(
-            pathlib.Path(folder), message.Membership(members), name
-        )
-    except storage.StorageError as error:
-        typer.echo(str(error), err=True)
-        raise typer.Exit(_EXIT_STORAGE) from error
-
-
-@application.command()
-def run(
-    folder: Annotated[
-        str, typer.Option('--data', envvar='MULBERRYWALK_DATA')
-    ] = '',
-    name: Annotated[str, typer.Option(envvar='MULBERRYWALK_NAME')] = '',
-    data_centre: Annotated[
-        str, typer.Option(envvar='MULBERRYWALK_DATA_CENTRE')
-    ] = '',
-    listen: Annotated[str, typer.Option(envvar='MULBERRYWALK_LISTEN')] = '',
-    advertise: Annotated[
-        str, typer.Option(envvar='MULBERRYWALK_ADVERTISE')
-    ] = '',
-    replicas: Annotated[str, typer.Option(envvar='MULBERRYWALK_REPLICAS')] = '',
-    statsd: Annotated[str, typer.Option(envvar='MULBERRYWALK_STATSD')] = '',
-    log_format: Annotated[
-        str, typer.Option(envvar='MULBERRYWALK_LOG_FORMAT')
-    ] = 'text',
-    voters: Annotated[str, typer.Option(envvar='MULBERRYWALK_VOTERS')] = '3',
-    repair_after_ms: Annotated[
-        str, typer.Option(envvar='MULBERRYWALK_REPAIR_AFTER_MS')
-    ] = '30000',
-    snapshot_entries: Annotated[
-        str, typer.Option(envvar='MULBERRYWALK_SNAPSHOT_ENTRIES')
-    ] = '20000',
-) -> None:
-    """Run the replica of a data folder; an empty folder joins as a spare."""
-    checker = setting.Checker()
-    if not folder:
-        checker.errors.append('--data: a folder is needed')
-    settings = Settings(
-        name=checker.name('--name', name),
-        data_centre=checker.name('--data-centre', data_centre),
-        listen=checker.address('--listen', listen),
-        advertise=checker.address('--advertise', advertise or listen),
-        folder=pathlib.Path(folder),
-        replicas=checker.addresses('--replicas', replicas),
-        statsd=checker.optional_address('--statsd', statsd),
-        log_format=checker.choice('--log-format', log_format, _LOG_FORMATS),
-        policy=leader.MembershipPolicy(
-            checker.number('--voters', voters, 1, 9),
-            checker.number(
-                '--repair-after-ms', repair_after_ms, 1000, _MAX_DURATION_MS
-            ),
-        ),
-        snapshot_entries=checker.number(
-            '--snapshot-entries', snapshot_entries, 10, _MAX_ENTRIES
-        ),
-    )
-    checker.exit_on_errors()
-    journal.open_log(is_json=settings.log_format == 'json')
-    run_to_end(settings)
-
-
-def parse_founder(checker: setting.Checker, text: str) -> message.Member:
-    """Parse NAME=HOST:PORT@DATA_CENTRE; errors are added to the checker."""
-    name, _, rest = text.partition('=')
-    address, _, data_centre = rest.partition('@')
-    return message.Member(
-        identity=message.ReplicaId(checker.name('--founders', name)),
-        address=checker.address('--founders', address),
-        data_centre=checker.name('--founders', data_centre),
-        voter=True,
-    )
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class ReplicaComponents:
     """The components of a replica that an extension can use."""
@@ -197,7 +96,7 @@
     """Return the exit code; errors of the data folder have their own."""
     group = ExceptionGroup('', [error])
     has_storage_error = group.subgroup((storage.StorageError, OSError))
-    return _EXIT_STORAGE if has_storage_error else _EXIT_FAILURE
+    return EXIT_STORAGE if has_storage_error else _EXIT_FAILURE
 
 
 async def serve(settings: Settings, extension: Extension | None = None) -> None:
@@ -400,12 +299,3 @@
         while replica_engine.node.role is node.Role.LEADER:
             await anyio.sleep(_POLL_INTERVAL_S)
     group.cancel_scope.cancel()
-
-
-def main() -> None:
-    """Run the command line."""
-    application()
-
-
-if __name__ == '__main__':
-    main()
--- a/mulberrywalk/replica/registry.py
+++ b/mulberrywalk/replica/registry.py
@@ -6,8 +6,6 @@
 
 from __future__ import annotations
 
-import dataclasses
-
 import anyio
 
 from ..core import event, identity, outcome
@@ -17,20 +15,6 @@
 _DEREGISTER_DELAY_S = 0.5
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class TargetHeartbeat:
-    """One announcement of a target.
-
-    sequence numbers the heartbeats of one incarnation of the target;
-    remaining_ms is the minimum time that a leaving target stays.
-    """
-
-    announcement: event.Announcement
-    sequence: int
-    is_leaving: bool
-    remaining_ms: int | None = None
-
-
 class Registry:
     """Opens and ends the sessions of polled targets."""
 
@@ -46,7 +30,7 @@
         self._latest.clear()
 
     async def process_heartbeat(
-        self, heartbeat: TargetHeartbeat
+        self, heartbeat: event.TargetHeartbeat
     ) -> outcome.Outcome | None:
         """Record a heartbeat and return the outcome.
 
@@ -73,7 +57,7 @@
             event.SessionOpened(self._engine.time(), announcement)
         )
 
-    def has_unknown_pool(self, heartbeat: TargetHeartbeat) -> bool:
+    def has_unknown_pool(self, heartbeat: event.TargetHeartbeat) -> bool:
         """Return whether a new incarnation names an unknown pool.
 
         Such a heartbeat is from a foreign sender, or its pool is not
@@ -126,7 +110,7 @@
             else None
         )
 
-    def _is_outdated(self, heartbeat: TargetHeartbeat) -> bool:
+    def _is_outdated(self, heartbeat: event.TargetHeartbeat) -> bool:
         announcement = heartbeat.announcement
         version = (announcement.born_at, heartbeat.sequence)
         if version < self._latest.get(announcement.target, version):
--- a/mulberrywalk/replica/registry_test.py
+++ b/mulberrywalk/replica/registry_test.py
@@ -37,7 +37,7 @@
     announced = cell_test.announce(
         0, str(born_at), born_at=born_at, address='a:1'
     )
-    return registry.TargetHeartbeat(announced, sequence, is_leaving)
+    return event.TargetHeartbeat(announced, sequence, is_leaving)
 
 
 def process(*heartbeats):
--- a/mulberrywalk/telemetry/setting.py
+++ b/mulberrywalk/telemetry/setting.py
@@ -7,8 +7,6 @@
 import sys
 from collections.abc import Callable
 
-import typer
-
 _ADDRESS = re.compile(r'^[0-9A-Za-z.:\[\]-]+:\d{1,5}$')
 _NAME = re.compile(r'^[A-Za-z0-9._-]{1,64}$')
 _MAX_PORT = 65_535
@@ -60,11 +58,11 @@
         return text
 
     def exit_on_errors(self) -> None:
-        """Print all errors and exit if there are any; raises typer.Exit."""
+        """Print all errors and exit if there are any; raises SystemExit."""
         if not self.errors:
             return
         sys.stderr.writelines(f'{error}\n' for error in self.errors)
-        raise typer.Exit(EXIT_USAGE)
+        sys.exit(EXIT_USAGE)
 
     def _check(
         self,
--- a/mulberrywalk/telemetry/setting_test.py
+++ b/mulberrywalk/telemetry/setting_test.py
@@ -1,7 +1,6 @@
 """Tests the validation of settings."""
 
 import pytest
-import typer
 
 from . import setting
 
@@ -12,7 +11,7 @@
     checker.address('--listen', 'nowhere')
     checker.number('--voters', '99', 1, 9)
     checker.addresses('--replicas', '')
-    with pytest.raises(typer.Exit):
+    with pytest.raises(SystemExit):
         checker.exit_on_errors()
     reported = capsys.readouterr().err.splitlines()
     assert [line.split(':')[0] for line in reported] == [
--- a/tests/process_end_test.py
+++ b/tests/process_end_test.py
@@ -21,18 +21,18 @@
 # Runs the program with an engine that finds a broken invariant.
 BROKEN_PROGRAM = """
 import sys
-from mulberrywalk.replica import engine, program
+from mulberrywalk.replica import command, engine
 
 async def fail(self):
     raise AssertionError('committed entry 7 would be replaced')
 
 engine.Engine.run = fail
-program.main()
+command.main()
 """
 
 
-REPLICA = ('-m', 'mulberrywalk.replica.program', 'run')
-ENTRY = ('-m', 'mulberrywalk.entry.program')
+REPLICA = ('-m', 'mulberrywalk.replica.command', 'run')
+ENTRY = ('-m', 'mulberrywalk.entry.command')
 
 
 class ProgramProcess:
