Count the targets that are assigned, not the lines that tell it

Cause: it waited for a line a target, but one line tells of all targets that an entry is given in one round. When both workers announce themselves before the first entry links, there is one line, 'targets assigned 2 to', for good. Change: the test adds up the counts in the lines. The check that no line comes after the change of leader stays.

--- a/tests/platform_test.py
+++ b/tests/platform_test.py
@@ -23,6 +23,7 @@
 READY_S = 40
 DONE_S = 30
 HOST = 'queue.example'
+ASSIGNED = 'targets assigned'
 # Lease of a polled target under the default settings.
 TARGET_LEASE_S = 5.5
 # Clusters that run beside each other must not choose the same addresses: all
@@ -177,6 +178,15 @@
         )
         return self.lines(text)
 
+    def count_assigned(self):
+        """Return how many targets the leaders have assigned so far.
+
+        One line tells of all targets that an entry is given at a time.
+        """
+        messages = (json.loads(one)['message'] for one in self.lines(ASSIGNED))
+        counts = (text.removeprefix(ASSIGNED).split()[0] for text in messages)
+        return sum(map(int, counts))
+
     def kill_leader(self):
         """Kill the leader; returns its process number."""
         number = self.find_leader()
@@ -426,9 +436,11 @@
 
 
 def test_new_leader_keeps_target_assignments(slow_cluster):
-    assigned = slow_cluster.wait_for_lines(
-        'targets assigned', len(slow_cluster.workers)
+    slow_cluster.wait(
+        lambda: slow_cluster.count_assigned() == len(slow_cluster.workers),
+        'not all targets were assigned',
     )
+    assigned = slow_cluster.lines(ASSIGNED)
     slow_cluster.kill_leader()
     name = '00000000000000ff'
     slow_cluster.submit(name, entry=1)
@@ -437,7 +449,7 @@
         'the job did not complete after failover',
         DONE_S,
     )
-    assert slow_cluster.lines('targets assigned') == assigned
+    assert slow_cluster.lines(ASSIGNED) == assigned
 
 
 def test_planned_stop_of_replicas_ends_in_order(cluster):
