--- a/mulberrywalk/platform/entry.py
+++ b/mulberrywalk/platform/entry.py
@@ -11,7 +11,7 @@
 
 from ..entry import adviser, polled_targets, program
 from ..telemetry import journal
-from . import caller_api, http, setting, worker_client
+from . import caller_api, http, http_client, setting, worker_client
 
 _MS_PER_S = 1000
 _SETTINGS_POLL_INTERVAL_S = 1.0
@@ -72,16 +72,16 @@
         components = self._parts
         if components is None:
             raise AssertionError('run was called before extend')
-        client_pool = worker_client.ClientPool()
+        connections = http_client.ConnectionPool()
         targets = polled_targets.PolledTargets(
-            worker_client.WorkerClient(client_pool, components.event_log),
+            worker_client.WorkerClient(connections, components.event_log),
             components.leader,
             components.sessions,
             components.event_log,
         )
         advice_queue = adviser.AdviceQueue(
             worker_client.HttpAdviserClient(
-                client_pool, self._settings.advice or '', components.event_log
+                connections, self._settings.advice or '', components.event_log
             ),
             components.leader,
             components.event_log,
--- a/mulberrywalk/platform/worker_client.py
+++ b/mulberrywalk/platform/worker_client.py
@@ -2,39 +2,28 @@
 
 from __future__ import annotations
 
-import dataclasses
-import ssl
 from collections.abc import Mapping
 from types import MappingProxyType
 from typing import Any
 
-import anyio
-import httpx
 import msgspec
 
 from ..core import identity
 from ..entry import adviser, target_client
 from ..telemetry import journal
 from ..transport import wire as messages
-from . import bound, http, wire
+from . import http, http_client, wire
 
 _COMMAND_TIMEOUT_S = 0.3
 # Added to the time for which the worker may delay its reply.
 _POLL_MARGIN_S = 0.4
 _ADVICE_TIMEOUT_S = 4.0
 _MS_PER_S = 1000
-_MAX_CONNECTIONS = 24
-_KEEPALIVE_S = 20
-# Longer than the timeout of any call, so that it never takes effect.
-_CLIENT_TIMEOUT_S = 30
 _EXPECTED_INSTANCE_HEADER = 'Mulberrywalk-Expected-Instance'
 _MISDIRECTED_REQUEST = 421
 _HEADERS = MappingProxyType(
     {'Content-Type': 'application/json', 'Accept-Encoding': 'identity'}
 )
-_CONTENT_ENCODING = 'content-encoding'
-# A listing of 10,000 rows takes about a tenth of this.
-_MAX_REPLY_BYTES = 8_388_608
 
 _RESULTS_BY_STATUS = MappingProxyType(
     {
@@ -46,110 +35,30 @@
     }
 )
 
-# Raised by a call that gets no reply or has a header that cannot be sent.
-_CALL_ERRORS = (
-    httpx.HTTPError,
-    OSError,
-    ValueError,
-    anyio.ClosedResourceError,
-)
-
-
-class ClientPool:
-    """HTTP clients, one for each address.
-
-    A client scans all its idle connections on each call, so the cost of a call
-    on a single shared client would grow with the number of addresses.
-    """
-
-    def __init__(self) -> None:
-        """Start without clients."""
-        self._clients: dict[str, httpx.AsyncClient] = {}
-        # Calls are not encrypted, but a client without a context creates one.
-        self._ssl_context = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
-
-    def client_for(self, address: str) -> httpx.AsyncClient | None:
-        """Return the client of an address, or None if it is not IPv4:port."""
-        if not bound.is_address(address):
-            return None
-        client = self._clients.get(address)
-        if client is None:
-            client = httpx.AsyncClient(
-                base_url=f'http://{address}',
-                timeout=_CLIENT_TIMEOUT_S,
-                trust_env=False,
-                verify=self._ssl_context,
-                limits=httpx.Limits(
-                    max_connections=_MAX_CONNECTIONS,
-                    max_keepalive_connections=_MAX_CONNECTIONS,
-                    keepalive_expiry=_KEEPALIVE_S,
-                ),
-            )
-            self._clients[address] = client
-        return client
-
-    async def close(self, address: str) -> None:
-        """Close the client of an address that is no longer called."""
-        client = self._clients.pop(address, None)
-        if client is not None:
-            await client.aclose()
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class HttpReply:
-    """A reply with its complete body."""
-
-    status: int
-    body: bytes
-
 
 async def post(
-    client: httpx.AsyncClient | None,
-    url: str,
+    connections: http_client.ConnectionPool,
+    address: str,
+    path: str,
     body: dict[str, Any],
     headers: Mapping[str, str],
     timeout_s: float,
-) -> HttpReply | None:
-    """Send a POST request; return the reply, or None if there is none in time.
-
-    Also returns None if the client is None, if the call fails, and for a reply
-    that has a content encoding or exceeds _MAX_REPLY_BYTES.
-    """
-    if client is None:
-        return None
-    encoded = msgspec.json.encode(body)
-    with anyio.move_on_after(timeout_s):
-        try:
-            async with client.stream(
-                'POST', url, content=encoded, headers=headers
-            ) as reply:
-                return await _read_reply(reply)
-        except _CALL_ERRORS:
-            return None
-    return None
-
-
-async def _read_reply(reply: httpx.Response) -> HttpReply | None:
-    if _CONTENT_ENCODING in reply.headers:
-        return None
-    chunks: list[bytes] = []
-    size = 0
-    async for chunk in reply.aiter_raw():
-        size += len(chunk)
-        if size > _MAX_REPLY_BYTES:
-            return None
-        chunks.append(chunk)
-    return HttpReply(reply.status_code, b''.join(chunks))
+) -> http_client.HttpReply | None:
+    """Send a POST request; return the reply, or None if there is none."""
+    request = http_client.HttpRequest(path, headers, msgspec.json.encode(body))
+    return await connections.call(address, request, timeout_s)
 
 
 class WorkerClient(target_client.TargetClient):
     """Sends polls and commands to workers over HTTP."""
 
     def __init__(
-        self, client_pool: ClientPool, event_log: journal.Journal
+        self,
+        connections: http_client.ConnectionPool,
+        event_log: journal.Journal,
     ) -> None:
         """Set up the state."""
-        self._client_pool = client_pool
+        self._connections = connections
         self._event_log = event_log
 
     async def poll(
@@ -241,9 +150,10 @@
         path: str,
         body: dict[str, Any],
         timeout_s: float,
-    ) -> HttpReply | None:
+    ) -> http_client.HttpReply | None:
         return await post(
-            self._client_pool.client_for(destination.address),
+            self._connections,
+            destination.address,
             f'/{path}',
             body,
             {**_HEADERS, _EXPECTED_INSTANCE_HEADER: destination.target},
@@ -255,10 +165,13 @@
     """Sends requests to the platform's adviser over HTTP."""
 
     def __init__(
-        self, client_pool: ClientPool, address: str, event_log: journal.Journal
+        self,
+        connections: http_client.ConnectionPool,
+        address: str,
+        event_log: journal.Journal,
     ) -> None:
         """Set up the state; address is IPv4:port."""
-        self._client_pool = client_pool
+        self._connections = connections
         self._address = address
         self._event_log = event_log
 
@@ -267,7 +180,8 @@
     ) -> tuple[tuple[identity.TargetId, str], ...] | None:
         """Return the allowed workers and their tickets, or None on failure."""
         reply = await post(
-            self._client_pool.client_for(self._address),
+            self._connections,
+            self._address,
             '/advise',
             {'step': step, 'workers': targets},
             _HEADERS,
@@ -287,7 +201,7 @@
     return {'task': task, 'runId': run, 'fencingToken': term}
 
 
-def _to_call_result(reply: HttpReply) -> target_client.CallResult:
+def _to_call_result(reply: http_client.HttpReply) -> target_client.CallResult:
     if reply.status == http.CONFLICT:
         return wire.read_refusal(reply.body)
     return _RESULTS_BY_STATUS.get(
--- a/mulberrywalk/platform/worker_client_test.py
+++ b/mulberrywalk/platform/worker_client_test.py
@@ -12,7 +12,7 @@
 from ..core import identity
 from ..entry import target_client
 from ..telemetry import journal
-from . import worker_client
+from . import http_client, worker_client
 
 INVALID_ADDRESSES = (
     '',
@@ -31,7 +31,7 @@
 
 def poll_destination(destination):
     client = worker_client.WorkerClient(
-        worker_client.ClientPool(), journal.Journal(journal.Origin('e', 'd'))
+        http_client.ConnectionPool(), journal.Journal(journal.Origin('e', 'd'))
     )
     request = target_client.PollRequest(1, None, 0, 0)
     return anyio.run(client.poll, destination, request)
@@ -55,7 +55,7 @@
 def test_adviser_with_invalid_address_gives_no_advice(address):
     event_log = journal.Journal(journal.Origin('e', 'd'))
     client = worker_client.HttpAdviserClient(
-        worker_client.ClientPool(), address, event_log
+        http_client.ConnectionPool(), address, event_log
     )
     advice = anyio.run(client.advise, identity.StepId('j.0.0'), ())
     assert advice is None
