Answer batches between replicas four times a second, not each one

Cause: each batch of consensus messages got a batch back that only showed that the other replica lives, so an append with its reply made four messages; and two followers that had once exchanged votes sent each other heartbeats for good. An older receiver answers each batch, an older sender still gets each answer, so versions can be mixed while replicas are restarted in turn. Weighed: replies on the stream of the appends; fewer messages still, but the next append would wait for the sync of the one before. Tests: three in peer_test.py on how often a reply is asked for and given and on the closed stream; they need the new field, so they weren't run on the old code.

--- a/mulberrywalk/replica/peer.py
+++ b/mulberrywalk/replica/peer.py
@@ -10,14 +10,21 @@
 from anyio.abc import TaskGroup
 
 from ..consensus import message, node
-from ..telemetry import journal
+from ..telemetry import clock, journal
 from ..transport import channel, wire
 from . import engine, status
 
 _REDIAL_DELAY_S = 0.1
+# A reply to each batch would double the number of messages; this often they
+# still show in time that the other replica no longer answers.
+_REPLY_INTERVAL_MS = 250
+# Only the leader sends all the time; a stream without messages is closed.
+_IDLE_LIMIT_MS = 1000
 # Messages beyond this limit are dropped; the consensus resends them.
 _OUTBOX_LIMIT = 1000
 
+PeerStream = channel.Stream[wire.PeerBatch, wire.PeerBatch]
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Connection:
@@ -86,15 +93,17 @@
 
     async def accept(self, context: Any) -> None:
         """Serve the stream of another replica until it closes or times out."""
-        stream: channel.Stream[wire.PeerBatch, wire.PeerBatch]
-        stream = channel.Stream(context, wire.PeerBatch, self._statuses.meter)
+        stream: PeerStream = channel.Stream(
+            context, wire.PeerBatch, self._statuses.meter
+        )
         try:
             while True:
                 batch = await stream.receive()
                 self._journal.clock.observe(batch.clock)
                 for body in batch.messages:
                     self._engine.enqueue(node.Received(batch.sender, body))
-                await stream.send(self._reply())
+                if batch.needs_reply:
+                    await stream.send(self._reply())
         except ConnectionError:
             return
 
@@ -103,10 +112,12 @@
     ) -> None:
         """Send until the scope of the connection is cancelled.
 
-        It may be cancelled before this task runs for the first time.
+        It may be cancelled before this task runs for the first time. A stream
+        is open only while there are messages to send.
         """
         with connection.scope:
             while True:
+                await connection.outbox.wait()
                 try:
                     await self._send_from(connection.outbox, member)
                 except ConnectionError:
@@ -120,19 +131,38 @@
             stream = channel.open_stream(
                 connection, channel.PEER, wire.PeerBatch, self._statuses.meter
             )
-            while True:
+            used_at = clock.monotonic_ms()
+            replied_at = used_at - _REPLY_INTERVAL_MS
+            while clock.monotonic_ms() - used_at < _IDLE_LIMIT_MS:
                 messages = await outbox.take(channel.HEARTBEAT_INTERVAL_S)
-                await stream.send(self._batch(messages))
-                reply = await stream.receive()
-                self._journal.clock.observe(reply.clock)
-                self._statuses.update(member.identity, reply.status)
+                now = clock.monotonic_ms()
+                used_at = now if messages else used_at
+                needs_reply = now - replied_at >= _REPLY_INTERVAL_MS
+                await stream.send(
+                    self._batch(messages, needs_reply=needs_reply)
+                )
+                if needs_reply:
+                    replied_at = now
+                    await self._receive_reply(stream, member)
+
+    async def _receive_reply(
+        self, stream: PeerStream, member: message.Member
+    ) -> None:
+        reply = await stream.receive()
+        self._journal.clock.observe(reply.clock)
+        self._statuses.update(member.identity, reply.status)
 
     def _reply(self) -> wire.PeerBatch:
         return msgspec.structs.replace(
-            self._batch(()), status=self._statuses.own()
+            self._batch((), needs_reply=False), status=self._statuses.own()
         )
 
-    def _batch(self, messages: tuple[message.Message, ...]) -> wire.PeerBatch:
+    def _batch(
+        self, messages: tuple[message.Message, ...], *, needs_reply: bool
+    ) -> wire.PeerBatch:
         return wire.PeerBatch(
-            self._engine.node.identity, self._journal.clock.read(), messages
+            self._engine.node.identity,
+            self._journal.clock.read(),
+            messages,
+            needs_reply=needs_reply,
         )
--- a/mulberrywalk/replica/peer_test.py
+++ b/mulberrywalk/replica/peer_test.py
@@ -1,18 +1,23 @@
 """Messages reach replicas that are not in the own log yet.
 
-Also covers the removal of a replica while its connection is opened.
+Also covers the removal of a replica while its connection is opened, and how
+often batches are answered.
 """
 
 import asyncio
+import contextlib
 import dataclasses
 import time
 
 import anyio
+import grpc
+import msgspec
 import pytest
 
 from ..consensus import log, message, node
+from ..core import state
 from ..telemetry import cost, journal
-from ..transport import channel
+from ..transport import channel, wire
 from . import peer, status
 
 
@@ -118,3 +123,123 @@
 
     anyio.run(run_peers, remove_as_the_delay_ends)
     assert dials
+
+
+class FakeStream:
+    """The sending end of a stream whose receiver answers what it must."""
+
+    def __init__(self):
+        self.sent = []
+        self.replies = 0
+
+    async def send(self, batch):
+        self.sent.append(batch)
+
+    async def receive(self):
+        self.replies += 1
+        return wire.PeerBatch(message.ReplicaId('b'), 0, ())
+
+
+class FakeNetwork:
+    """Records the streams that are opened, and counts those closed."""
+
+    def __init__(self):
+        self.streams = []
+        self.closed = 0
+
+    @contextlib.asynccontextmanager
+    async def dial(self, _):
+        yield
+        self.closed += 1
+
+    def open_stream(self, *_):
+        self.streams.append(FakeStream())
+        return self.streams[-1]
+
+
+@pytest.fixture
+def network(monkeypatch):
+    fake_network = FakeNetwork()
+    monkeypatch.setattr(channel, 'dial', fake_network.dial)
+    monkeypatch.setattr(channel, 'open_stream', fake_network.open_stream)
+    return fake_network
+
+
+def send_message(peers, term):
+    body = message.PreVoteReply(term, granted=False)
+    peers.send(message.ReplicaId('b'), body)
+
+
+def test_messages_in_quick_succession_ask_for_one_reply(network, monkeypatch):
+    now = 0
+    monkeypatch.setattr(peer.clock, 'monotonic_ms', lambda: now)
+
+    async def send_often(peers, replica_engine):
+        for term in range(20):
+            send_message(peers, term)
+            await anyio.sleep(0.005)
+        remove_member(peers, replica_engine)
+
+    anyio.run(run_peers, send_often)
+    stream = network.streams[0]
+    needs_reply = [one.needs_reply for one in stream.sent]
+    assert needs_reply[0]
+    assert len(needs_reply) > 1
+    assert not any(needs_reply[1:])
+    assert stream.replies == 1
+
+
+def test_stream_without_messages_is_closed_until_the_next(network, monkeypatch):
+    monkeypatch.setattr(peer, '_IDLE_LIMIT_MS', 300)
+
+    async def send_again(peers, replica_engine):
+        with anyio.fail_after(5):
+            while not network.closed:
+                await anyio.sleep(0.01)
+            assert len(network.streams) == 1
+            send_message(peers, 2)
+            while len(network.streams) < 2 or not network.streams[1].sent:
+                await anyio.sleep(0.01)
+        remove_member(peers, replica_engine)
+
+    anyio.run(run_peers, send_again)
+    first_batch = network.streams[1].sent[0]
+    assert [one.term for one in first_batch.messages] == [2]
+
+
+class FakeContext:
+    """The receiving end of a stream with prepared batches."""
+
+    def __init__(self, *batches):
+        self.encoded = [msgspec.msgpack.encode(batch) for batch in batches]
+        self.written = []
+
+    async def read(self):
+        return self.encoded.pop(0) if self.encoded else grpc.aio.EOF
+
+    async def write(self, encoded):
+        self.written.append(encoded)
+
+
+def test_only_batches_that_ask_for_a_reply_get_one():
+    received = []
+
+    async def accept(peers, replica_engine):
+        replica_engine.enqueue = received.append
+        replica_engine.tables = state.State()
+        batches = [
+            wire.PeerBatch(
+                message.ReplicaId('b'),
+                0,
+                (message.PreVoteReply(1, granted=False),),
+                needs_reply=needs_reply,
+            )
+            for needs_reply in (True, False, False)
+        ]
+        context = FakeContext(*batches)
+        await peers.accept(context)
+        assert len(context.written) == 1
+        remove_member(peers, replica_engine)
+
+    anyio.run(run_peers, accept)
+    assert len(received) == 3
--- a/mulberrywalk/transport/channel.py
+++ b/mulberrywalk/transport/channel.py
@@ -75,6 +75,11 @@
         self._messages.append(message)
         self._not_empty.set()
 
+    async def wait(self) -> None:
+        """Wait until there is a message."""
+        if not self._messages:
+            await self._not_empty.wait()
+
     async def take(self, seconds: float) -> tuple[Sent, ...]:
         """Return all messages, or none if none arrives within seconds."""
         if not self._messages:
--- a/mulberrywalk/transport/wire.py
+++ b/mulberrywalk/transport/wire.py
@@ -338,13 +338,15 @@
 class PeerBatch(msgspec.Struct, frozen=True):
     """Consensus messages from one replica; an empty batch is a heartbeat.
 
-    status is set in replies to batches only.
+    needs_reply asks the receiver for a batch that shows that it is alive;
+    status is set in such replies only.
     """
 
     sender: message.ReplicaId
     clock: int
     messages: tuple[message.Message, ...]
     status: Status | None = None
+    needs_reply: bool = True
 
 
 class JoinRequest(msgspec.Struct, frozen=True):
