Poll a new target again once the leader has granted its lease

Seen while the interval of renewals was changed: a session without a lease polls with no wait, 46 times in 0.1 s against a target that answers at once. Cause: the wait of the next poll is zero until the target holds its lease, and nothing waited for the leader's grant, which comes with the next batch (up to 0.1 s) or, without a leader, not at all: then targets were polled at full speed.

--- a/mulberrywalk/entry/polled.py
+++ b/mulberrywalk/entry/polled.py
@@ -73,6 +73,7 @@
         self._event_log = event_log
         self._lease = target_client.Lease(assigned.lease_ms)
         self._term = assigned.term
+        self._lease_granted = anyio.Event()
         self._lease_held = anyio.Event()
         self._start_deadlines = start_deadline.StartDeadlines(self._lease)
         self._committed = anyio.Event()
@@ -139,6 +140,7 @@
         self._lease.granted_from = max(
             sequence, self._lease.granted_from or sequence
         )
+        self._lease_granted.set()
 
     def end(self) -> None:
         """End the session and cancel its calls."""
@@ -156,6 +158,9 @@
             has_result = await self._poll(wait_ms)
             if not has_result:
                 await anyio.sleep(_FAILED_POLL_DELAY_S)
+            elif not self._lease_granted.is_set():
+                with anyio.move_on_after(_FAILED_POLL_DELAY_S):
+                    await self._lease_granted.wait()
             elif not self._reports.ends.is_acknowledged():
                 await self._wait_for_commit()
             wait_ms = self._next_wait()
