Refuse a call that no leader was sent within a second

Cause: a call that waits for a link had the whole time of its caller. Not one of its kind can have run, so it can be refused with when to return. Ruled out: a shorter wait for calls that were sent: their outcome is open, the next leader answers them. Change: after 1 s without having been sent, a call is given up, which removes it from those that a later link sends, and refused.

--- a/mulberrywalk/entry/upstream.py
+++ b/mulberrywalk/entry/upstream.py
@@ -17,6 +17,9 @@
 # An entry accepts no new work once the leader has not confirmed its
 # configuration as current for this long.
 CONFIGURATION_MAX_AGE_MS = 3000
+# A call that no leader was sent in this time is refused, so that its caller can
+# try another entry.
+_UNSENT_TIMEOUT_S = 1.0
 _REDIAL_DELAY_S = 0.1
 _POLL_INTERVAL_S = 0.02
 
@@ -158,8 +161,12 @@
     ) -> pending.PendingCall:
         with self._calls.open(request) as pending_call:
             self._enqueue(pending_call.message)
-            with anyio.move_on_after(seconds):
+            unsent_s = min(seconds, _UNSENT_TIMEOUT_S)
+            with anyio.move_on_after(unsent_s):
                 await pending_call.done.wait()
+            if pending_call.is_sent:
+                with anyio.move_on_after(seconds - unsent_s):
+                    await pending_call.done.wait()
             return pending_call
 
     def _enqueue(self, message: wire.FromEntry) -> None:
