Answer a caller in time while there is no leader

Cause: a request waited 1 s for a confirmed configuration whatever its own deadline, so a caller with less time left got no answer at all. Change: the wait ends 0.12 s before the caller's deadline, with 503 and when to return; one that comes with less is refused at once. Weighed: refusing at once whenever no leader is known. Requests that wait their second are served if the leader returns in it, and most elections are shorter; refused at once they would come back a second later, at their deadline's end. Test: test_caller_is_refused_before_it_gives_up_while_there_is_no_leader, two of its three cases seen to fail before.

--- a/mulberrywalk/platform/caller_api.py
+++ b/mulberrywalk/platform/caller_api.py
@@ -92,7 +92,8 @@
         if request.path == _READY_PATH:
             return self._get_readiness()
         wait_started_at = clock.monotonic_ms()
-        if not await self._leader.wait_until_current(_LEADER_WAIT_S):
+        leader_wait_s = min(_LEADER_WAIT_S, _remaining_s(request))
+        if not await self._leader.wait_until_current(leader_wait_s):
             age_ms = self._leader.confirmation_age_ms()
             self._event_log.record(
                 'refused',
@@ -226,15 +227,23 @@
 
 
 def _wait_limit_s(request: http.Request, queue: configuration.Queue) -> float:
-    """Return how long a request may take, in seconds."""
-    max_wait_s = min(_MAX_WAIT_S, queue.timeout_ms / _MS_PER_S)
+    """Return how long a request for a queue may take, in seconds."""
+    timeout_s = queue.timeout_ms / _MS_PER_S - _ANSWER_MARGIN_S
+    return max(_MIN_WAIT_S, min(timeout_s, _remaining_s(request)))
+
+
+def _remaining_s(request: http.Request) -> float:
+    """Return for how long the caller of a request still waits, in seconds.
+
+    It is zero if an answer could hardly reach the caller in time.
+    """
     try:
         deadline_s = (
             float(request.headers.get(_DEADLINE_HEADER, '')) / _MS_PER_S
         )
     except ValueError:
-        deadline_s = max_wait_s
-    return max(_MIN_WAIT_S, min(max_wait_s, deadline_s) - _ANSWER_MARGIN_S)
+        deadline_s = _MAX_WAIT_S
+    return max(float(0), min(_MAX_WAIT_S, deadline_s) - _ANSWER_MARGIN_S)
 
 
 def _unavailable(reason: str) -> http.Response:
--- a/mulberrywalk/platform/caller_api_test.py
+++ b/mulberrywalk/platform/caller_api_test.py
@@ -172,6 +172,28 @@
     assert 0 < timeouts[0] <= 3
 
 
+@pytest.mark.parametrize(
+    ('deadline_ms', 'longest_s'), [(b'17', 0), (b'500', 0.5), (b'3000', 1)]
+)
+def test_caller_is_refused_before_it_gives_up_while_there_is_no_leader(
+    deadline_ms, longest_s
+):
+    leader = FakeLeader(None, is_ready=False)
+    waits = []
+
+    async def wait_until_current(seconds):
+        waits.append(seconds)
+        return False
+
+    leader.wait_until_current = wait_until_current
+    deadline = (b'mulberrywalk-deadline-ms', deadline_ms)
+    status, headers = send_request(
+        leader, 'POST', f'/a/{NAME}', BODY, headers=[deadline]
+    )
+    assert (status, headers['retry-after']) == (503, '1')
+    assert 0 <= waits[0] <= longest_s
+
+
 @pytest.mark.parametrize(
     'name',
     ['x', f'{NAME}0', f'{NAME}/', f'{NAME}\n', '\u0660' * 16, '\xe9', ' '],
