Keep a target away that has left, across changes of leader and restarts

Looked for because operators of similar systems report it: after a restart, a server that had left was in use again. It can happen here. Cause: the guard against late heartbeats (registry.Registry: incarnation and sequence) is in the leader's memory and empty after a change of leader, and the state forgets a target once its last session has ended. A heartbeat that was held up on its way and says ready then opened a session for a target that is gone; starts were placed on it until it counted as silent. Ruled out: heartbeats of an address that another target has taken (refused while the successor is known), and of a later incarnation (allowed, as before).

--- a/mulberrywalk/core/session.py
+++ b/mulberrywalk/core/session.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from . import (
+    departure,
     effect,
     evacuation,
     event,
@@ -47,6 +48,11 @@
             outcome.RefusalReason.SUPERSEDED_LIFE,
             f'{announcement.target} has been followed at its address',
         )
+    if departure.has_left(tables, announcement):
+        return outcome.NotRun(
+            outcome.RefusalReason.SUPERSEDED_LIFE,
+            f'{announcement.target} has left',
+        )
     if announcement.ended in tables.sessions:
         end_session(tables, announcement.ended)
     _end_previous_target(tables, announcement)
@@ -364,6 +370,7 @@
 def _close_target(tables: state.State, session: target.Session) -> None:
     record = tables.targets[session.target]
     if record.session == session.session:
+        departure.record_end(tables, session)
         record = msgspec.structs.replace(
             record, session=None, is_leaving=False, silence=None
         )
--- a/mulberrywalk/core/snapshot.py
+++ b/mulberrywalk/core/snapshot.py
@@ -9,6 +9,7 @@
 from . import (
     configuration,
     health,
+    identity,
     job,
     lifecycle,
     queueing,
@@ -43,6 +44,7 @@
     steps: list[job.Step] = []
     durations: dict[str, int] = {}
     led_from: int = 0
+    departed: list[tuple[identity.TargetId, target.Departure]] = []
 
 
 def encode(tables: state.State) -> bytes:
@@ -63,6 +65,7 @@
         steps=_sorted_records(tables.steps),
         durations=dict(sorted(tables.durations.items())),
         led_from=tables.leader_since,
+        departed=list(tables.departed.items()),
     )
     return msgspec.msgpack.encode(records)
 
@@ -84,6 +87,7 @@
         refusals=dict(records.refusals),
         steps={record.step: record for record in records.steps},
         durations=records.durations,
+        departed=dict(records.departed),
         queues={
             queue.name: queue for queue in records.configuration.routing.queues
         },
--- a/mulberrywalk/core/state.py
+++ b/mulberrywalk/core/state.py
@@ -105,6 +105,11 @@
         default_factory=dict
     )
     durations: dict[str, int] = dataclasses.field(default_factory=dict)
+    # Targets whose session ended after they announced that they leave, in the
+    # order in which they left.
+    departed: dict[identity.TargetId, target.Departure] = dataclasses.field(
+        default_factory=dict
+    )
 
     fleet: fleet.Fleet = dataclasses.field(default_factory=fleet.Fleet)
     waiting: waiting.WaitingTasks = dataclasses.field(
--- a/mulberrywalk/core/target.py
+++ b/mulberrywalk/core/target.py
@@ -74,6 +74,13 @@
     silence_changed_at: int = 0
 
 
+class Departure(msgspec.Struct, frozen=True, gc=False):
+    """The incarnation of a target that has left, and when its session ended."""
+
+    born_at: int
+    at: int
+
+
 class Session(msgspec.Struct, frozen=True, gc=False):
     """A target's permission to run attempts until its lease expires."""
 
