--- a/mulberrywalk/entry/start_deadline_test.py
+++ b/mulberrywalk/entry/start_deadline_test.py
@@ -177,3 +177,10 @@
     scene.send()
     assert scene.deadlines.wait_ms(500) == WINDOW_MS - 490 + 20
     assert scene.deadlines.wait_ms(2 * WINDOW_MS) == 0
+
+
+def test_start_that_waited_out_the_lease_is_not_sent():
+    """A process that was paused finds its clock behind the lease's end."""
+    scene = Scene()
+    scene.deadlines.add_start(FIRST)
+    assert scene.deadlines.next_deadline(FIRST, LEASE_MS + 1) is None
--- a/tests/platform_test.py
+++ b/tests/platform_test.py
@@ -658,3 +658,29 @@
             cluster.start_again(number)
         cluster.wait_seconds(6)
         assert [run.outcome for run in cluster.runs()] == ['']
+
+
+def test_entry_resumed_after_a_lease_is_idle(cluster):
+    """Its targets go to the other entry, which starts the tasks."""
+    cluster.wait(
+        lambda: cluster.count_assigned() == len(cluster.workers),
+        'not all targets were assigned',
+    )
+    paused = cluster.processes[REPLICAS]
+    paused.signal(signal.SIGSTOP)
+    names = [f'00000000000001{number:02x}' for number in range(4)]
+    for name in names:
+        cluster.submit(name, entry=1)
+    cluster.wait_seconds(TARGET_LEASE_S + 1)
+    paused.signal(signal.SIGCONT)
+    cluster.wait(
+        lambda: {cluster.state(one, entry=1) for one in names} == {'completed'},
+        'the jobs did not complete',
+        DONE_S,
+    )
+    # What the paused entry still had to send would arrive now.
+    cluster.wait_seconds(2)
+    runs = sorted((run.task, run.outcome) for run in cluster.runs())
+    assert runs == [
+        (f'{name}.0.0.{number}', 'done') for name in names for number in (0, 1)
+    ]
