Find the membership without reading the log

Seen: in the profile of a busy follower (py-spy, 24 targets, 40 starts/s) 3.3 of the 33 percent that are work went into the membership at the last index. Cause: each append asked for it, and membership_at copied and scanned the whole log in memory, up to 2,500 entries: 474 us, on every replica for every batch. Change: the log keeps the indexes of the entries that change the membership, by change: appended, truncated and compacted with it. 0.16 us for the same log. Looked for elsewhere: slice, term_at and truncate cost by what they return. Tests: log_test.py, a hypothesis test against the scan (append, truncate, compact), and a count of entries read, which failed before (2999 < 10).

--- a/mulberrywalk/consensus/log.py
+++ b/mulberrywalk/consensus/log.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import bisect
 import dataclasses
 
 import msgspec
@@ -17,6 +18,9 @@
     snapshot_term: int
     snapshot_membership: message.Membership
     entries: list[message.LogEntry] = dataclasses.field(default_factory=list)
+    # The indexes of the entries that change the membership, and the results.
+    _change_indexes: list[int] = dataclasses.field(default_factory=list)
+    _changed: list[message.Membership] = dataclasses.field(default_factory=list)
 
     def last_index(self) -> int:
         """Return the index of the last entry."""
@@ -52,6 +56,11 @@
                 f'entry {entry.index} does not follow {self.last_index()}'
             )
         self.entries.append(entry)
+        if entry.kind is message.EntryKind.MEMBERSHIP:
+            self._change_indexes.append(entry.index)
+            self._changed.append(
+                msgspec.msgpack.decode(entry.payload, type=message.Membership)
+            )
 
     def truncate(self, first: int) -> None:
         """Remove all entries from index first to the end."""
@@ -59,6 +68,9 @@
         # In place, because most calls remove nothing from a long log and a
         # slice would copy it.
         del self.entries[kept_count:]
+        kept_changes = bisect.bisect_left(self._change_indexes, first)
+        del self._change_indexes[kept_changes:]
+        del self._changed[kept_changes:]
 
     def compact(self, index: int, membership: message.Membership) -> None:
         """Remove the entries up to index, which a snapshot covers.
@@ -74,18 +86,15 @@
         self.snapshot_index = index
         self.snapshot_term = term
         self.snapshot_membership = membership
+        covered = bisect.bisect_right(self._change_indexes, index)
+        del self._change_indexes[:covered]
+        del self._changed[:covered]
 
     def membership_at(self, index: int) -> message.Membership:
         """Return the membership in effect at index."""
-        entry_count = index - self.snapshot_index
-        latest = next(
-            (
-                entry
-                for entry in reversed(self.entries[:entry_count])
-                if entry.kind is message.EntryKind.MEMBERSHIP
-            ),
-            None,
+        changes = bisect.bisect_right(self._change_indexes, index)
+        return (
+            self._changed[changes - 1]
+            if changes
+            else (self.snapshot_membership)
         )
-        if latest is None:
-            return self.snapshot_membership
-        return msgspec.msgpack.decode(latest.payload, type=message.Membership)
