Start the demo's processes by their command lines

Cause: demo/cell.py builds the module's name (mulberrywalk.NAME.program), which a search for the names didn't show when the command lines moved; such a module has no main any more. Change: NAME.command.

--- a/demo/cell.py
+++ b/demo/cell.py
@@ -321,7 +321,7 @@
 
 def program_command(name: str) -> list[str]:
     """Return the command that runs one of the system's programs."""
-    return [sys.executable, '-m', f'mulberrywalk.{name}.program']
+    return [sys.executable, '-m', f'mulberrywalk.{name}.command']
 
 
 def free_ports(count: int) -> list[int]:
