Choose the room for lasting work ten times a second, not in each pass

Cause: the room for overdue lasting work was searched anew in each pass, over up to 16 steps and 16 targets each. Ruled out: keeping nothing in between; lasting tasks then starve again (the last two cases of the new test fail with an empty list there). Change: the choice is made 100 ms after the last one; passes in between withhold the same room, for as long as its task has not been placed. Weighed: fewer passes; that would delay urgent work.

--- a/mulberrywalk/core/snapshot.py
+++ b/mulberrywalk/core/snapshot.py
@@ -45,6 +45,8 @@
     durations: dict[str, int] = {}
     led_from: int = 0
     departed: list[tuple[identity.TargetId, target.Departure]] = []
+    withheld: tuple[state.WithheldRoom, ...] = ()
+    withheld_at: int = 0
 
 
 def encode(tables: state.State) -> bytes:
@@ -66,6 +68,8 @@
         durations=dict(sorted(tables.durations.items())),
         led_from=tables.leader_since,
         departed=list(tables.departed.items()),
+        withheld=tables.withheld,
+        withheld_at=tables.withheld_at,
     )
     return msgspec.msgpack.encode(records)
 
@@ -88,6 +92,8 @@
         steps={record.step: record for record in records.steps},
         durations=records.durations,
         departed=dict(records.departed),
+        withheld=records.withheld,
+        withheld_at=records.withheld_at,
         queues={
             queue.name: queue for queue in records.configuration.routing.queues
         },
--- a/mulberrywalk/core/state.py
+++ b/mulberrywalk/core/state.py
@@ -63,6 +63,13 @@
     made_at: int
 
 
+class WithheldRoom(msgspec.Struct, frozen=True):
+    """Room on a target that is kept for a lasting task."""
+
+    task: identity.TaskId
+    target: identity.TargetId
+
+
 @dataclasses.dataclass(slots=True)
 class State:
     """All data on which decisions are based.
@@ -110,6 +117,9 @@
     departed: dict[identity.TargetId, target.Departure] = dataclasses.field(
         default_factory=dict
     )
+    # Room for lasting tasks, and when it was last chosen.
+    withheld: tuple[WithheldRoom, ...] = ()
+    withheld_at: int = 0
 
     fleet: fleet.Fleet = dataclasses.field(default_factory=fleet.Fleet)
     waiting: waiting.WaitingTasks = dataclasses.field(
--- a/mulberrywalk/core/step_reservation.py
+++ b/mulberrywalk/core/step_reservation.py
@@ -7,8 +7,9 @@
 Overdue tasks are placed before all other work. For those that fit nowhere, and
 for tasks on silent targets whose lease is about to expire, room is withheld
 from the other work of the pass and, where that makes room sooner, attempts that
-are no more urgent are stopped. Reservations are derived anew in each pass and
-never stored.
+are no more urgent are stopped. Which room is withheld is chosen anew at
+intervals, as the choice is most of the work of a pass; the passes in between
+withhold the same room.
 """
 
 from __future__ import annotations
@@ -36,6 +37,8 @@
 # Users count lasting work as lost once it has been absent for some seconds,
 # so this leaves time to stop other work and to ask the adviser.
 RESERVE_AFTER_MS = 1000
+# How often room is chosen; lasting work waits for that long in addition.
+CHOICE_INTERVAL_MS = 100
 # Time to stop other work before the lease of a silent target has expired.
 PREPARE_MS = 1000
 # Limits on one pass, so that other work goes on when much lasting work waits,
@@ -54,6 +57,7 @@
 class Reservation:
     """Room withheld on a target for one task of a step."""
 
+    task: identity.TaskId
     step: identity.StepId
     load: fleet.TargetLoad
     demand: resource.Resources
@@ -65,6 +69,24 @@
     The caller releases the reservations at the end of the pass. There are none
     while room is made for work below its floor, which would be given away.
     """
+    if tables.time - tables.withheld_at < CHOICE_INTERVAL_MS:
+        return _withhold_again(tables)
+    reserved = _choose_room(tables)
+    tables.withheld_at = tables.time
+    tables.withheld = tuple(
+        state.WithheldRoom(one.task, one.load.target) for one in reserved
+    )
+    return reserved
+
+
+def release(tables: state.State, reserved: list[Reservation]) -> None:
+    """Give withheld room back to its targets."""
+    for one in reserved:
+        free = resource.add(one.load.free, one.demand)
+        tables.fleet.update(one.load, free=free)
+
+
+def _choose_room(tables: state.State) -> list[Reservation]:
     reserved: list[Reservation] = []
     due = _find_due(tables)
     if not due or preemption.is_due(tables):
@@ -75,11 +97,24 @@
     return reserved
 
 
-def release(tables: state.State, reserved: list[Reservation]) -> None:
-    """Give withheld room back to its targets."""
-    for one in reserved:
-        free = resource.add(one.load.free, one.demand)
-        tables.fleet.update(one.load, free=free)
+def _withhold_again(tables: state.State) -> list[Reservation]:
+    """Withhold the room that was chosen last, for tasks that still need it."""
+    if not tables.withheld or preemption.is_due(tables):
+        return []
+    return [
+        _withhold(tables, tables.tasks[one.task], load)
+        for one in tables.withheld
+        if (load := tables.fleet.loads.get(one.target)) is not None
+        and _needs_room(tables, one.task)
+    ]
+
+
+def _needs_room(tables: state.State, name: identity.TaskId) -> bool:
+    """Return whether a task has not been placed, nor cancelled."""
+    task = tables.tasks.get(name)
+    if task is None or task.ended_at:
+        return False
+    return not _is_placed(tables, task)
 
 
 def _place_overdue(tables: state.State, name: identity.StepId) -> bool:
@@ -263,7 +298,7 @@
     """
     demand = tables.demand(task)
     tables.fleet.update(load, free=resource.subtract(load.free, demand))
-    return Reservation(task.step_id(), load, demand)
+    return Reservation(task.task, task.step_id(), load, demand)
 
 
 def _stop_victims(
