--- a/mulberrywalk/platform/http_client.py
+++ b/mulberrywalk/platform/http_client.py
@@ -18,7 +18,7 @@
 
 from . import bound
 
-# Workers close connections that are unused for longer.
+# Connections that are unused for longer are closed.
 _MAX_IDLE_S = 20
 _MAX_READ_BYTES = 65_536
 # A listing of 10,000 rows takes about a tenth of this.
@@ -38,7 +38,7 @@
 
 
 class ReplyError(ValueError):
-    """A reply is packed or too large."""
+    """A reply has no status, is packed or is too large."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
