review: disks lost one after the other end the cell; cases renumbered

Case 1 is now the loss of all that was acknowledged through the loss of one disk at a time. The lease of a restarted worker is case 4.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,3 +1,3 @@
 #!/bin/sh
-# A worker crashes and starts again under its id; later it is cut off.
-cd "$(dirname "$0")" && exec python3 ../lib/case_reborn_lease.py "$PWD"
+# Replicas lose their disks one after the other.
+cd "$(dirname "$0")" && exec python3 ../lib/case_lost_disks.py "$PWD"
--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,3 +1,3 @@
 #!/bin/sh
-# A worker that has ended tasks crashes and starts again under its id.
-cd "$(dirname "$0")" && exec python3 ../lib/case_reborn_cursor.py "$PWD"
+# A worker crashes and starts again under its id; later it is cut off.
+cd "$(dirname "$0")" && exec python3 ../lib/case_reborn_lease.py "$PWD"
--- a/review/lib/case_gang_half_done.py
+++ b/review/lib/case_gang_half_done.py
@@ -58,9 +58,9 @@
     state = deployment.state(name)
     deployment.record.say(
         f'GET {name}: {state}; nothing of it ran for {longest:.1f} s on end, '
-        'with five free workers'
+        'with twelve free workers'
     )
     return state != 'completed' and longest > 3 + 4
 
 
-standin.play(sys.argv[1], 5, play_case)
+standin.play(sys.argv[1], 12, play_case)
--- a/review/lib/case_reborn_lease.py
+++ b/review/lib/case_reborn_lease.py
@@ -12,10 +12,10 @@
 def play_case(deployment):
     deployment.begin()
     name = deployment.submit(
-        [{'count': 8, 'cpu': 500, 'memMb': 100, 'estimateMs': 320, 'longRunning': True}]
+        [{'count': 16, 'cpu': 500, 'memMb': 100, 'estimateMs': 320, 'longRunning': True}]
     )
     world, worker = deployment.world, deployment.workers[0]
-    deployment.wait(lambda: len(world.live()) == 8, 'not all tasks run', 20)
+    deployment.wait(lambda: len(world.live()) == 16, 'not all tasks run', 20)
     # The earlier life has to be older than the longest hold.
     deployment.wait(lambda: worker.clock_ms() > 11_000, 'never', 20)
     deployment.record.say(f'{len(world.live(worker=worker.name))} tasks run on {worker.name}')
@@ -24,13 +24,13 @@
         time.sleep(DOWN_S)
         worker.start(first_beat_s=0.4)
         deployment.record.say(f'{worker.name} has started again')
-    deployment.wait(lambda: len(world.live()) == 8, 'not all tasks run again', 25)
+    deployment.wait(lambda: len(world.live()) == 16, 'not all tasks run again', 25)
     # A second job of the same kind; some of its tasks go to the new life.
     deployment.submit(
-        [{'count': 8, 'cpu': 500, 'memMb': 100, 'estimateMs': 320, 'longRunning': True}]
+        [{'count': 16, 'cpu': 500, 'memMb': 100, 'estimateMs': 320, 'longRunning': True}]
     )
     deployment.wait(
-        lambda: len(world.live()) == 16 and world.live(worker=worker.name),
+        lambda: len(world.live()) == 32 and world.live(worker=worker.name),
         'not all tasks of the second job run', 25,
     )
     time.sleep(0.5)
@@ -45,4 +45,4 @@
     return standin.report_doubles(deployment)
 
 
-standin.play(sys.argv[1], 4, play_case)
+standin.play(sys.argv[1], 8, play_case)
--- a/review/lib/case_used_address.py
+++ b/review/lib/case_used_address.py
@@ -20,9 +20,9 @@
         worker.start()
     time.sleep(8)
     deployment.submit(
-        [{'count': 10, 'cpu': 1100, 'memMb': 100, 'estimateMs': 320, 'longRunning': True}]
+        [{'count': 22, 'cpu': 1100, 'memMb': 100, 'estimateMs': 320, 'longRunning': True}]
     )
-    deployment.wait(lambda: len(world.live()) == 10, 'not all tasks run', 25)
+    deployment.wait(lambda: len(world.live()) == 22, 'not all tasks run', 25)
     time.sleep(2)
     deployment.record.say(f'{len(world.live(worker=worker.name))} tasks run on {worker.name}')
     # An empty worker is added; with the disruption, at the address left free.
@@ -33,4 +33,4 @@
     return standin.report_doubles(deployment)
 
 
-standin.play(sys.argv[1], 4, play_case)
+standin.play(sys.argv[1], 8, play_case)
--- a/review/lib/standin.py
+++ b/review/lib/standin.py
@@ -496,6 +496,7 @@
         self.world = World(self.record)
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix='review-'))
         self.processes = {}
+        self.environments = {}
         net = f'127.{40 + secrets.randbelow(160)}.{secrets.randbelow(250)}'
         self.hosts = [f'{net}.{number}' for number in range(1, 6)]
         self.worker_host = f'{net}.100'
@@ -558,6 +559,7 @@
                 **self.roles[serves].get('env', {}),
             }
         )
+        self.environments[number] = environment
         log = open(self.folder / f'process-{number}.log', 'wb')
         self.processes[number] = subprocess.Popen(
             self.roles[serves]['run'].split(), cwd=ROOT, env=environment,
