review: an error of the stand-ins is no verdict

The scripts end with 2 after an error of their own or a SIGTERM; before, an error would have been read as a broken rule.

--- a/review/lib/standin.py
+++ b/review/lib/standin.py
@@ -25,6 +25,7 @@
 import threading
 import time
 import tomllib
+import traceback
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 TROUBLE = os.environ.get('TROUBLE', '1') != '0'
@@ -679,15 +680,24 @@
     return found
 
 
+def _stop(*_):
+    raise CannotRun('stopped from outside')
+
+
 def play(case_folder, worker_count, play_case, **options):
     """Play a case; exit with 1 if the rule broke, 0 if it held, else 2."""
     deployment = None
+    signal.signal(signal.SIGTERM, _stop)
     try:
         deployment = Deployment(case_folder, worker_count, **options)
         is_broken = play_case(deployment)
     except CannotRun as error:
         print(f'the case could not run: {error}', flush=True)
         sys.exit(2)
+    except Exception:
+        # An error of the stand-ins is no verdict on the rule.
+        traceback.print_exc()
+        sys.exit(2)
     finally:
         if deployment is not None:
             deployment.close()
