--- a/review/lib/case_hopeless_jobs.py
+++ b/review/lib/case_hopeless_jobs.py
@@ -11,8 +11,10 @@
 JOBS_PER_S = 14
 HOPELESS_SHARE = 0.03
 FLOW_S = 55
-# finish_s and a little more, after the last job has been handed in.
-WATCH_S = 20
+# finish_s: the rule is judged this long after the last job was handed in.
+FINISH_S = 14
+WATCH_S = FINISH_S + 6
+IDLE_S = 3
 SMALL = {'count': 1, 'cpu': 500, 'memMb': 100, 'estimateMs': 640, 'work_s': 0.2}
 # Four steps that don't wait for each other, each on 20 cores; workers have 4.
 HOPELESS = {
@@ -58,7 +60,7 @@
             used = sum(world.phase(one.task)['cpu'] for one in world.live())
         waiting = {name: at for name, at in accepted.items() if name not in started}
         oldest = time.monotonic() - min(waiting.values(), default=time.monotonic())
-        if used < CAPACITY / 2 and oldest > longest:
+        if elapsed > FLOW_S + FINISH_S and used < CAPACITY / 2 and oldest > longest:
             longest = oldest
             at_worst = (
                 f'{len(waiting)} small jobs have not started, the oldest for '
@@ -69,7 +71,7 @@
             f'{len(waiting)} small jobs wait, the oldest for {oldest:.1f} s; {used} in use'
         )
     deployment.record.say(f'at worst: {at_worst}')
-    return longest > 3 + 4
+    return longest > IDLE_S
 
 
 standin.play(sys.argv[1], 4, play_case)
--- a/review/lib/case_lost_disks.py
+++ b/review/lib/case_lost_disks.py
@@ -13,7 +13,8 @@
 DOWN_S = 1.0
 # A machine that is back counts as lost for catchUpS, which is 4 s.
 APART_S = 7.0
-RECOVERY_S = 12.0
+# finish_s, which is longer than recoveryS (12 s).
+FINISH_S = 14.0
 SMALL = {'count': 2, 'cpu': 300, 'memMb': 100, 'estimateMs': 300, 'work_s': 0.2}
 
 
@@ -53,10 +54,10 @@
 
 def play_case(deployment):
     deployment.begin()
-    names, pause = [], [0.0]
+    names, pause, is_over = [], [0.0], []
 
     def hand_in():
-        while not deployment.world.is_closed:
+        while not (is_over or deployment.world.is_closed):
             try:
                 names.append(deployment.submit([SMALL]))
             except standin.CannotRun:
@@ -92,9 +93,10 @@
                     f'{APART_S:.0f} s later: reads are answered by replica '
                     f'{find_leader(deployment)}'
                 )
-    time.sleep(RECOVERY_S)
+    is_over.append(True)
+    time.sleep(FINISH_S)
     asked = names[-20:]
-    deployment.record.say(f'{RECOVERY_S:.0f} s later (recoveryS) {len(asked)} jobs are asked for')
+    deployment.record.say(f'{FINISH_S:.0f} s after the end of the traffic {len(asked)} jobs are asked for')
     answers = []
     for name in asked:
         status, answer = deployment.call('GET', name)
--- a/review/lib/standin.py
+++ b/review/lib/standin.py
@@ -36,6 +36,8 @@
 HEARTBEAT_S = 1.5
 GANG_TIMEOUT_S = 3.0
 STOP_S = 0.1
+# A play is given up, with exit code 2, after this many seconds.
+MOST_S = 116
 BOUNDS = {
     'seedLagS': 3, 'reuseAfterS': 2, 'contactMs': 3000, 'ackMs': 4000,
     'catchUpS': 4, 'drainMs': 2000, 'graceS': 6, 'lossSlackMs': 200,
@@ -681,13 +683,15 @@
 
 
 def _stop(*_):
-    raise CannotRun('stopped from outside')
+    raise CannotRun('stopped from outside, or it took too long')
 
 
 def play(case_folder, worker_count, play_case, **options):
     """Play a case; exit with 1 if the rule broke, 0 if it held, else 2."""
     deployment = None
     signal.signal(signal.SIGTERM, _stop)
+    signal.signal(signal.SIGALRM, _stop)
+    signal.alarm(MOST_S)
     try:
         deployment = Deployment(case_folder, worker_count, **options)
         is_broken = play_case(deployment)
