Log messages that no address is known for, and spares that don't catch up

Peers.send dropped messages to a replica that the own membership doesn't name, without a line.

A replica now logs the first message that it drops ('messages dropped'), and a leader logs each second which spares are behind, by how much and when they last answered ('spare behind', gauge spares_behind). No decision changes.

--- a/mulberrywalk/consensus/repair.py
+++ b/mulberrywalk/consensus/repair.py
@@ -68,6 +68,22 @@
     return state.now - acknowledged_at > timeout_ms
 
 
+def describe_lagging_learners(
+    state: node.Node, timeout_ms: int
+) -> list[tuple[message.ReplicaId, str]]:
+    """Return the learners that cannot be promoted yet, and how far they are.
+
+    Nothing on a replica that does not lead; timeout_ms is that of voters.
+    """
+    if state.role is not node.Role.LEADER:
+        return []
+    return [
+        (member.identity, _describe_progress(state, member.identity))
+        for member in state.membership.members
+        if not member.voter and not _is_caught_up(state, member, timeout_ms)
+    ]
+
+
 def add_learner(
     state: node.Node, new_member: message.Member
 ) -> message.Membership | None:
@@ -123,6 +139,15 @@
     return match >= state.commit_index - _MAX_LEARNER_LAG_ENTRIES
 
 
+def _describe_progress(state: node.Node, replica: message.ReplicaId) -> str:
+    progress = state.progress[replica]
+    silent_ms = state.now - progress.acknowledged_at
+    return (
+        f'holds {progress.match_index} of {state.commit_index} entries, '
+        f'last answered {silent_ms} ms ago'
+    )
+
+
 def _remove_silent_learner(
     state: node.Node, timeout_ms: int
 ) -> message.Membership | None:
--- a/mulberrywalk/consensus/repair_test.py
+++ b/mulberrywalk/consensus/repair_test.py
@@ -106,3 +106,15 @@
     assert set(enlarged.voters()) == {'a', 'b', 'c', 'b-2'}
     commit_membership(leader, enlarged)
     assert set(plan(leader).voters()) == {'a', 'c', 'b-2'}
+
+
+def test_lagging_learner_is_described_until_it_has_caught_up(leader):
+    assert not repair.describe_lagging_learners(leader, TIMEOUT_MS)
+    leader.progress['d'].match_index = 0
+    leader.progress['d'].acknowledged_at = NOW_MS - 700
+    leader.commit_index = 1000
+    assert repair.describe_lagging_learners(leader, TIMEOUT_MS) == [
+        ('d', 'holds 0 of 1000 entries, last answered 700 ms ago')
+    ]
+    leader.role = node.Role.FOLLOWER
+    assert not repair.describe_lagging_learners(leader, TIMEOUT_MS)
--- a/mulberrywalk/replica/leader.py
+++ b/mulberrywalk/replica/leader.py
@@ -270,10 +270,20 @@
             max(self._assignments.count_by_entry().values(), default=0),
         )
         self._absence_monitor.report()
+        self._report_learners()
         for step, detail in view.explain_queue_heads(tables):
             job = step.split('.', maxsplit=1)[0]
             self._journal.record('first in queue', f'{step} {detail}', job=job)
 
+    def _report_learners(self) -> None:
+        """Log the spares that cannot replace a voter yet."""
+        lagging = repair.describe_lagging_learners(
+            self._engine.node, self._policy.repair_after_ms
+        )
+        self._metrics.gauge('spares_behind', len(lagging))
+        for replica, detail in lagging:
+            self._journal.record('spare behind', f'{replica} {detail}')
+
     def _send_initial_state(self, new_link: link.Link) -> None:
         new_link.send(self._members_changed())
         new_link.send(self._configuration_changed())
--- a/mulberrywalk/replica/peer.py
+++ b/mulberrywalk/replica/peer.py
@@ -58,6 +58,7 @@
         self._group = group
         self._connections: dict[str, _Connection] = {}
         self._learned: dict[message.ReplicaId, message.Member] = {}
+        self._unreachable: set[message.ReplicaId] = set()
 
     def learn_members(self, members: tuple[message.Member, ...]) -> None:
         """Store the addresses of replicas that are not in the own log yet.
@@ -73,7 +74,9 @@
         if member is None and not self._engine.node.membership.members:
             member = self._learned.get(receiver)
         if member is None:
+            self._record_unreachable(receiver, body)
             return
+        self._unreachable.discard(receiver)
         key = f'{receiver}@{member.address}'
         if key not in self._connections:
             connection = _Connection()
@@ -83,6 +86,7 @@
 
     def close_removed(self) -> None:
         """Close the streams to replicas that are no longer members."""
+        self._unreachable.clear()
         current = {
             f'{member.identity}@{member.address}'
             for member in self._engine.node.membership.members
@@ -107,6 +111,18 @@
         except ConnectionError:
             return
 
+    def _record_unreachable(
+        self, receiver: message.ReplicaId, body: message.Message
+    ) -> None:
+        """Log the first message that a receiver without an address misses."""
+        if receiver in self._unreachable:
+            return
+        self._unreachable.add(receiver)
+        kind = type(body).__name__
+        self._journal.record(
+            'messages dropped', f'no address of {receiver} for {kind}'
+        )
+
     async def _keep_open(
         self, connection: _Connection, member: message.Member
     ) -> None:
--- a/mulberrywalk/replica/peer_test.py
+++ b/mulberrywalk/replica/peer_test.py
@@ -69,6 +69,20 @@
     assert not anyio.run(send_to_leader, (other,))
 
 
+def test_first_message_without_an_address_is_logged():
+    replica_engine = FakeEngine(create_node(()))
+    logger = journal.Journal(journal.Origin('new', 'dc'))
+    statuses = status.Statuses(replica_engine, cost.Meter())
+    peers = peer.Peers(replica_engine, logger, statuses, FakeGroup())
+    for term in range(2):
+        body = message.PreVoteReply(term, granted=False)
+        peers.send(message.ReplicaId('c'), body)
+    lines = logger.find(journal.Filter())
+    assert [(one.what, one.detail) for one in lines] == [
+        ('messages dropped', 'no address of c for PreVoteReply')
+    ]
+
+
 def remove_member(peers, replica_engine):
     replica_engine.node.membership = message.Membership(())
     peers.close_removed()
