Answer replicas that the own membership doesn't name yet

Members that had been learned while joining were looked up only while the membership was empty.

Each batch states where its sender listens; a replica answers there when its own membership doesn't name the sender, as long as the sender's stream is open. The members in the reply to a join, which nothing else used, are gone. It works for every answer, whatever the replica knows: all messages to replicas outside the own membership are answers to one that has a stream open.

It replaces test_replica_with_a_log_uses_only_its_membership, which asserted the fault: that a leader outside the membership gets no answer. What was right in it is checked by two tests: the membership's address goes first, and a replica that is neither a member nor connected gets nothing.

--- a/mulberrywalk/replica/leader.py
+++ b/mulberrywalk/replica/leader.py
@@ -130,7 +130,6 @@
         is_member = (
             raft_node.membership.find(request.member.identity) is not None
         )
-        members = raft_node.membership.members
         if not self._engine.is_serving():
             leader = (
                 raft_node.membership.find(raft_node.leader)
@@ -138,12 +137,12 @@
                 else None
             )
             address = leader.address if leader else ''
-            return wire.JoinReply(is_member, address, members)
+            return wire.JoinReply(is_member, address)
         planned = repair.add_learner(raft_node, request.member)
         if planned is not None:
             self._journal.record('spare admitted', request.member.identity)
             self._engine.enqueue(node.MembershipProposed(planned))
-        return wire.JoinReply(is_member, '', members)
+        return wire.JoinReply(is_member, '')
 
     def _reset(self) -> None:
         now = clock.monotonic_ms()
--- a/mulberrywalk/replica/peer.py
+++ b/mulberrywalk/replica/peer.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import contextlib
 import dataclasses
+import itertools
 from typing import Any
 
 import anyio
@@ -26,6 +28,14 @@
 PeerStream = channel.Stream[wire.PeerBatch, wire.PeerBatch]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Receiver:
+    """Another replica and the host:port address at which it listens."""
+
+    identity: message.ReplicaId
+    address: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Connection:
     """The messages for another replica, and the scope that sends them."""
@@ -47,51 +57,51 @@
         logger: journal.Journal,
         statuses: status.Statuses,
         group: TaskGroup,
+        address: str,
     ) -> None:
         """Prepare; a stream is opened when its first message is sent.
 
-        statuses receives the statuses that the other replicas report.
+        statuses receives the statuses that the other replicas report. address
+        is the host:port at which the other replicas reach this one.
         """
         self._engine = replica_engine
         self._journal = logger
         self._statuses = statuses
         self._group = group
-        self._connections: dict[str, _Connection] = {}
-        self._learned: dict[message.ReplicaId, message.Member] = {}
+        self._address = address
+        self._connections: dict[_Receiver, _Connection] = {}
+        # The addresses stated by the replicas that have a stream open to this
+        # one. The own log may be older than the membership of its leader or of
+        # a candidate, and they need the answers of this replica.
+        self._senders: dict[message.ReplicaId, str] = {}
         self._unreachable: set[message.ReplicaId] = set()
 
-    def learn_members(self, members: tuple[message.Member, ...]) -> None:
-        """Store the addresses of replicas that are not in the own log yet.
-
-        A replica with an empty log must answer its leader to receive any
-        entries.
-        """
-        self._learned = {member.identity: member for member in members}
-
     def send(self, receiver: message.ReplicaId, body: message.Message) -> None:
-        """Queue a message; drop it when the receiver is unknown."""
-        member = self._engine.node.membership.find(receiver)
-        if member is None and not self._engine.node.membership.members:
-            member = self._learned.get(receiver)
-        if member is None:
+        """Queue a message; drop it when no address of the receiver is known."""
+        address = self._find_address(receiver)
+        if address is None:
             self._record_unreachable(receiver, body)
             return
         self._unreachable.discard(receiver)
-        key = f'{receiver}@{member.address}'
+        key = _Receiver(receiver, address)
         if key not in self._connections:
             connection = _Connection()
             self._connections[key] = connection
-            self._group.start_soon(self._keep_open, connection, member)
+            self._group.start_soon(self._keep_open, connection, key)
         self._connections[key].outbox.put(body)
 
     def close_removed(self) -> None:
-        """Close the streams to replicas that are no longer members."""
+        """Close the streams to replicas that are no longer members.
+
+        Streams to those that have one open to this replica are kept.
+        """
         self._unreachable.clear()
-        current = {
-            f'{member.identity}@{member.address}'
+        members = (
+            _Receiver(member.identity, member.address)
             for member in self._engine.node.membership.members
-        }
-        removed = set(self._connections) - current
+        )
+        senders = itertools.starmap(_Receiver, self._senders.items())
+        removed = set(self._connections).difference(members, senders)
         for key in removed:
             self._connections.pop(key).scope.cancel()
 
@@ -100,16 +110,32 @@
         stream: PeerStream = channel.Stream(
             context, wire.PeerBatch, self._statuses.meter
         )
-        try:
-            while True:
-                batch = await stream.receive()
-                self._journal.clock.observe(batch.clock)
-                for body in batch.messages:
-                    self._engine.enqueue(node.Received(batch.sender, body))
-                if batch.needs_reply:
-                    await stream.send(self._reply())
-        except ConnectionError:
-            return
+        with contextlib.ExitStack() as stack:
+            stack.enter_context(contextlib.suppress(ConnectionError))
+            first = await stream.receive()
+            stack.callback(self._senders.pop, first.sender, None)
+            await self._accept_batches(stream, first)
+
+    async def _accept_batches(
+        self, stream: PeerStream, first: wire.PeerBatch
+    ) -> None:
+        batch = first
+        while True:
+            # Another stream of the same sender may have ended since the last
+            # batch, and have taken the address with it.
+            if batch.address:
+                self._senders[batch.sender] = batch.address
+            self._journal.clock.observe(batch.clock)
+            for body in batch.messages:
+                self._engine.enqueue(node.Received(batch.sender, body))
+            if batch.needs_reply:
+                await stream.send(self._reply())
+            batch = await stream.receive()
+
+    def _find_address(self, replica: message.ReplicaId) -> str | None:
+        """Return where a replica listens: as a member, or by its own word."""
+        member = self._engine.node.membership.find(replica)
+        return member.address if member else self._senders.get(replica)
 
     def _record_unreachable(
         self, receiver: message.ReplicaId, body: message.Message
@@ -124,7 +150,7 @@
         )
 
     async def _keep_open(
-        self, connection: _Connection, member: message.Member
+        self, connection: _Connection, receiver: _Receiver
     ) -> None:
         """Send until the scope of the connection is cancelled.
 
@@ -135,15 +161,15 @@
             while True:
                 await connection.outbox.wait()
                 try:
-                    await self._send_from(connection.outbox, member)
+                    await self._send_from(connection.outbox, receiver)
                 except ConnectionError:
-                    self._statuses.update(member.identity, None)
+                    self._statuses.update(receiver.identity, None)
                     await anyio.sleep(_REDIAL_DELAY_S)
 
     async def _send_from(
-        self, outbox: channel.Outbox[message.Message], member: message.Member
+        self, outbox: channel.Outbox[message.Message], receiver: _Receiver
     ) -> None:
-        async with channel.dial(member.address) as connection:
+        async with channel.dial(receiver.address) as connection:
             stream = channel.open_stream(
                 connection, channel.PEER, wire.PeerBatch, self._statuses.meter
             )
@@ -159,14 +185,14 @@
                 )
                 if needs_reply:
                     replied_at = now
-                    await self._receive_reply(stream, member)
+                    await self._receive_reply(stream, receiver)
 
     async def _receive_reply(
-        self, stream: PeerStream, member: message.Member
+        self, stream: PeerStream, receiver: _Receiver
     ) -> None:
         reply = await stream.receive()
         self._journal.clock.observe(reply.clock)
-        self._statuses.update(member.identity, reply.status)
+        self._statuses.update(receiver.identity, reply.status)
 
     def _reply(self) -> wire.PeerBatch:
         return msgspec.structs.replace(
@@ -181,4 +207,5 @@
             self._journal.clock.read(),
             messages,
             needs_reply=needs_reply,
+            address=self._address,
         )
--- a/mulberrywalk/replica/peer_test.py
+++ b/mulberrywalk/replica/peer_test.py
@@ -46,34 +46,111 @@
     return raft_node
 
 
-async def send_to_leader(members):
-    group = FakeGroup()
+def create_peers(members, group):
     replica_engine = FakeEngine(create_node(members))
     logger = journal.Journal(journal.Origin('new', 'dc'))
     statuses = status.Statuses(replica_engine, cost.Meter())
-    peers = peer.Peers(replica_engine, logger, statuses, group)
-    leader = message.Member(message.ReplicaId('a'), 'a:1', 'dc', True)
-    peers.learn_members((leader,))
-    peers.send(leader.identity, message.PreVoteReply(1, granted=False))
-    return [arguments[1] for arguments in group.started]
+    return peer.Peers(replica_engine, logger, statuses, group, 'new:1')
+
+
+class OpenContext:
+    """A gRPC context of a stream that stays open after its batches."""
+
+    def __init__(self, *batches):
+        self.encoded = [msgspec.msgpack.encode(batch) for batch in batches]
+        self.is_read = anyio.Event()
+        self.is_closed = anyio.Event()
 
+    async def read(self):
+        if self.encoded:
+            return self.encoded.pop(0)
+        self.is_read.set()
+        await self.is_closed.wait()
+        return grpc.aio.EOF
+
+
+def create_batch(sender, address):
+    return wire.PeerBatch(
+        message.ReplicaId(sender), 0, (), needs_reply=False, address=address
+    )
 
-def test_replica_with_an_empty_log_uses_learned_members():
-    assert [member.address for member in anyio.run(send_to_leader, ())] == [
-        'a:1'
+
+def list_destinations(group):
+    return [
+        (receiver.identity, receiver.address) for _, receiver in group.started
     ]
 
 
-def test_replica_with_a_log_uses_only_its_membership():
-    other = message.Member(message.ReplicaId('b'), 'b:1', 'dc', True)
-    assert not anyio.run(send_to_leader, (other,))
+async def answer_leader(members, group):
+    """Answer leader a while its stream is open, and once it has closed.
+
+    Returns where messages are sent, and how many of these while it is open.
+    """
+    peers = create_peers(members, group)
+    body = message.PreVoteReply(1, granted=False)
+    context = OpenContext(create_batch('a', 'a:1'))
+    async with anyio.create_task_group() as streams:
+        streams.start_soon(peers.accept, context)
+        await context.is_read.wait()
+        peers.close_removed()
+        peers.send(message.ReplicaId('a'), body)
+        while_open = len(group.started)
+        context.is_closed.set()
+    peers.close_removed()
+    peers.send(message.ReplicaId('a'), body)
+    return list_destinations(group), while_open
+
+
+OTHER = message.Member(message.ReplicaId('b'), 'b:1', 'dc', True)
+# Replica a as it is in the membership, at another address than it states.
+LEADER = message.Member(message.ReplicaId('a'), 'a:2', 'dc', True)
+
+
+@pytest.mark.parametrize('members', [(), (OTHER,)])
+def test_leader_missing_from_the_own_membership_is_answered(members):
+    """A spare restored from a snapshot older than its leader was left out.
+
+    Its answers were dropped, so that it never became a voter.
+    """
+    destinations = anyio.run(answer_leader, members, FakeGroup())
+    assert destinations == ([('a', 'a:1')], 1)
+
+
+def test_address_in_the_own_membership_goes_before_a_stated_one():
+    destinations, _ = anyio.run(answer_leader, (OTHER, LEADER), FakeGroup())
+    assert set(destinations) == {('a', 'a:2')}
+
+
+def test_replica_that_is_neither_a_member_nor_connected_gets_no_message():
+    group = FakeGroup()
+    peers = create_peers((OTHER,), group)
+    peers.send(message.ReplicaId('a'), message.PreVoteReply(1, granted=False))
+    assert not group.started
+
+
+def test_stream_to_a_connected_sender_is_kept_though_it_is_no_member():
+    async def keep():
+        group = FakeGroup()
+        peers = create_peers((OTHER,), group)
+        context = OpenContext(create_batch('a', 'a:1'))
+        body = message.PreVoteReply(1, granted=False)
+        async with anyio.create_task_group() as streams:
+            streams.start_soon(peers.accept, context)
+            await context.is_read.wait()
+            for _ in range(2):
+                peers.send(message.ReplicaId('a'), body)
+                peers.close_removed()
+            context.is_closed.set()
+        return list_destinations(group)
+
+    assert anyio.run(keep) == [('a', 'a:1')]
 
 
 def test_first_message_without_an_address_is_logged():
     replica_engine = FakeEngine(create_node(()))
     logger = journal.Journal(journal.Origin('new', 'dc'))
     statuses = status.Statuses(replica_engine, cost.Meter())
-    peers = peer.Peers(replica_engine, logger, statuses, FakeGroup())
+    peers = peer.Peers(replica_engine, logger, statuses, FakeGroup(), 'new:1')
     for term in range(2):
         body = message.PreVoteReply(term, granted=False)
         peers.send(message.ReplicaId('c'), body)
@@ -95,7 +172,7 @@
     logger = journal.Journal(journal.Origin('new', 'dc'))
     statuses = status.Statuses(replica_engine, cost.Meter())
     async with anyio.create_task_group() as group:
-        peers = peer.Peers(replica_engine, logger, statuses, group)
+        peers = peer.Peers(replica_engine, logger, statuses, group, 'new:1')
         peers.send(other.identity, message.PreVoteReply(1, granted=False))
         await use(peers, replica_engine)
         # The group ends once the connection is closed.
--- a/mulberrywalk/replica/program.py
+++ b/mulberrywalk/replica/program.py
@@ -128,13 +128,15 @@
         stack.callback(disk.close)
         stack.push_async_callback(_stop_server, server)
         group = await stack.enter_async_context(anyio.create_task_group())
-        peers = peer.Peers(replica_engine, logger, statuses, group)
+        peers = peer.Peers(
+            replica_engine, logger, statuses, group, settings.advertise
+        )
         replica_engine.callbacks = _create_callbacks(peers, replica_leader)
         await _start_server(server, peers, replica_leader, logger)
         logger.record('replica running', loaded.identity.identity)
         group.start_soon(replica_engine.run)
         group.start_soon(replica_leader.run)
-        group.start_soon(_join_cell, settings, replica_engine, peers, logger)
+        group.start_soon(_join_cell, settings, replica_engine, logger)
         group.start_soon(_stop_on_signal, replica_engine, logger, group)
         parts = ReplicaComponents(
             settings, replica_engine, replica_leader, logger, metrics
@@ -210,7 +212,6 @@
 async def _join_cell(
     settings: Settings,
     replica_engine: engine.Engine,
-    peers: peer.Peers,
     logger: journal.Journal,
 ) -> None:
     """Ask to join whenever this replica is not a member or hears no leader.
@@ -246,8 +247,6 @@
         address = addresses[0]
         addresses.rotate(-1)
         reply = await _ask_to_join(address, encoded)
-        if reply.members:
-            peers.learn_members(reply.members)
         if reply.leader:
             addresses.appendleft(reply.leader)
 
--- a/mulberrywalk/transport/wire.py
+++ b/mulberrywalk/transport/wire.py
@@ -339,7 +339,8 @@
     """Consensus messages from one replica; an empty batch is a heartbeat.
 
     needs_reply asks the receiver for a batch that shows that it is alive;
-    status is set in such replies only.
+    status is set in such replies only. address is the host:port at which the
+    sender listens; a receiver whose log doesn't name the sender answers there.
     """
 
     sender: message.ReplicaId
@@ -347,6 +348,7 @@
     messages: tuple[message.Message, ...]
     status: Status | None = None
     needs_reply: bool = True
+    address: str = ''
 
 
 class JoinRequest(msgspec.Struct, frozen=True):
@@ -356,14 +358,10 @@
 
 
 class JoinReply(msgspec.Struct, frozen=True):
-    """Whether the spare was admitted; leader is the address to ask instead.
-
-    members tells a replica without a log which replicas will contact it.
-    """
+    """Whether the spare was admitted; leader is the address to ask instead."""
 
     is_admitted: bool
     leader: str
-    members: tuple[message.Member, ...] = ()
 
 
 class TimelineRequest(msgspec.Struct, frozen=True):
--- a/tests/guarantees.feature
+++ b/tests/guarantees.feature
@@ -45,6 +45,12 @@
     And a spare has become a voter and another follower is killed
     Then no guarantee is violated
 
+  Scenario: The disks of all replicas are lost one after another
+    Given a cell with 2 entries and 6 targets and early repair
+    And callers and operators active with seed 27
+    When each replica has a snapshot and loses its disk in turn
+    Then no guarantee is violated
+
   Scenario: A replica restarts after missing hundreds of changes
     Given a cell with 2 entries and 6 targets and snapshots every 100 entries
     And callers and operators active with seed 26
--- a/tests/guarantees_test.py
+++ b/tests/guarantees_test.py
@@ -22,6 +22,8 @@
 FAULT_NAMES = '|'.join(map(re.escape, fault.FAULTS))
 # More entries than a replica keeps in its log behind a snapshot.
 MISSED_ENTRIES = 1500
+# More than a replica keeps in its log behind a snapshot.
+SNAPSHOT_ENTRIES = 1100
 PROPAGATION_LIMIT_S = 7
 FILE_LIMIT_BYTES = 200_000
 
@@ -58,6 +60,14 @@
         ' and snapshots every 100 entries': {
             'replica_options': ('--snapshot-entries', '100'),
         },
+        ' and early repair': {
+            'replica_options': (
+                '--repair-after-ms',
+                '3000',
+                '--snapshot-entries',
+                str(SNAPSHOT_ENTRIES),
+            ),
+        },
         ' that respond late or twice': {
             'behaviours': {0: 'late', 1: 'duplicate', 2: 'late'},
         },
@@ -176,6 +186,68 @@
     )
 
 
+@when('each replica has a snapshot and loses its disk in turn')
+def lose_disks_in_turn(cluster):
+    """Replace the leader until a replaced replica leads, then the others.
+
+    A snapshot of that leader doesn't name it; its successors start from there.
+    """
+    wait_for_entries(cluster, SNAPSHOT_ENTRIES)
+    harness.wait_until(
+        lambda: all(has_snapshot(cluster, name) for name in cluster.replicas()),
+        'no snapshot was taken',
+    )
+    # Without load, no further snapshot that names the new replicas is taken.
+    cluster.load.stop()
+    lost = set()
+    leader = get_leader_name(cluster)
+    while leader not in lost:
+        lose_disk(cluster, leader)
+        lost.add(leader)
+        leader = get_leader_name(cluster)
+    for name in cluster.replicas():
+        if name != leader:
+            lose_disk(cluster, name)
+
+
+def has_snapshot(cluster, name):
+    return (cluster.running_cell.plan.folder / name / 'snapshot.bin').exists()
+
+
+def get_leader_name(cluster):
+    return get_process_name(cluster.running_cell.leader())
+
+
+def get_process_name(identity):
+    """Return replica-N for an identity, which may have a suffix."""
+    return '-'.join(identity.split('-')[:2])
+
+
+def lose_disk(cluster, name):
+    """Restart a replica with an empty disk and wait until it votes again."""
+    earlier = get_voters(cluster)
+    cluster.process(name).kill()
+    harness.clear_folder(cluster.running_cell.plan.folder / name)
+    cluster.process(name).start()
+    kept = {one for one in earlier if get_process_name(one) != name}
+
+    def is_replaced():
+        voters = get_voters(cluster)
+        added = voters - earlier
+        return (
+            kept < voters
+            and len(voters) == 3
+            and {get_process_name(one) for one in added} == {name}
+        )
+
+    harness.wait_until(is_replaced, f'{name} did not become a voter again')
+
+
+def get_voters(cluster):
+    replicas = harness.members(cluster).get('replicas', ())
+    return {one['identity'] for one in replicas if one['voter']}
+
+
 @when('all processes are restarted one after another')
 def restart_one_by_one(cluster):
     for name, process in cluster.running_cell.processes.items():
