Send leases, starts and acknowledged ends only to their incarnation

An entry goes on polling the address of a target until the leader has ended its session. The first poll that the next incarnation answers carried the end of the lease on the clock of the earlier one. The new clock starts at zero, so that the target took it for a lease of the longest length (maxHoldMs, 10 s), where the leader counts 5.5 s. That another incarnation answers was noticed only by the reply. The same poll carries the number of the last acknowledged end of the earlier incarnation, and a start carries a time on its clock.

Ruled out: a lease that the leader counts wrongly (it counted its own), and a poll of the new session (there was none before the heartbeat).

A call names the incarnation that it is for. A connection reaches one incarnation only, as it ends with the process; so polls with a lease or an acknowledged end, and starts, are sent on a connection on which that incarnation has answered. On a new connection a poll without either goes first, and its reply says who is there. Stops and paces say nothing of a clock and go out as before. An identification that fails is no refusal of the start that it was for.

Weighed: counting the lease of a target that started again as the longest one. It would leave the acknowledged ends as they are, and keep the tasks of such a target from running elsewhere for 10 s.

--- a/mulberrywalk/entry/polled.py
+++ b/mulberrywalk/entry/polled.py
@@ -65,7 +65,7 @@
         """Set up the state; run polls the target."""
         self.assigned = assigned
         self._destination = target_client.Destination(
-            assigned.target, assigned.address
+            assigned.target, assigned.address, assigned.born_at
         )
         self._client = client
         self._leader = leader
--- a/mulberrywalk/entry/target_client.py
+++ b/mulberrywalk/entry/target_client.py
@@ -37,10 +37,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Destination:
-    """The identity and the host:port address of a target."""
+    """The incarnation of a target to call, and its host:port address.
+
+    born_at identifies the incarnation: a target that starts again keeps its
+    identity, and possibly its address.
+    """
 
     target: identity.TargetId
     address: str
+    born_at: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -102,13 +107,21 @@
 
 
 class TargetClient(abc.ABC):
-    """A client of targets; each call has its own timeout."""
+    """A client of targets; each call has its own timeout.
+
+    A time on the target's clock and the number of an end mean something else to
+    another incarnation: they are sent only to the one that is named.
+    """
 
     @abc.abstractmethod
     async def poll(
         self, destination: Destination, request: PollRequest
     ) -> PollResult | CallResult:
-        """Poll a target; return its state, or why the poll failed."""
+        """Poll a target; return its state, or why the poll failed.
+
+        If another incarnation answers, the lease and the acknowledged ends of
+        the request have not reached it.
+        """
 
     @abc.abstractmethod
     async def start(
@@ -121,7 +134,7 @@
         """Start an attempt, unless the call arrives after deadline_ms.
 
         deadline_ms is a time on the target's clock. It also extends the lease,
-        and never shortens it.
+        and never shortens it. Another incarnation does not get the start.
         """
 
     @abc.abstractmethod
--- a/mulberrywalk/platform/http_client.py
+++ b/mulberrywalk/platform/http_client.py
@@ -10,7 +10,8 @@
 import dataclasses
 import select
 import time
-from collections.abc import Mapping
+from collections.abc import Awaitable, Callable, Mapping
+from typing import TypeVar
 
 import anyio
 import h11
@@ -36,6 +37,8 @@
     h11.ProtocolError,
 )
 
+Exchanged = TypeVar('Exchanged')
+
 
 class ReplyError(ValueError):
     """A reply has no status, is packed or is too large."""
@@ -59,11 +62,16 @@
 
 
 class Connection:
-    """An open connection, which carries one call at a time."""
+    """An open connection, which carries one call at a time.
+
+    peer identifies the process that has answered on it, None before; callers
+    set it. A process that is started again does not get its connections back.
+    """
 
     def __init__(self, address: str, stream: SocketStream) -> None:
         """Use a stream that is connected to the address."""
         self.address = address
+        self.peer: int | None = None
         self.used_at = time.monotonic()
         self._stream = stream
         self._protocol = h11.Connection(h11.CLIENT)
@@ -159,12 +167,28 @@
         Also returns None if the address is not IPv4:port, if the call fails,
         and for a reply that has a content encoding or is too large.
         """
+
+        async def send(connection: Connection) -> HttpReply:
+            return await connection.call(request)
+
+        return await self.use(address, send, timeout_s)
+
+    async def use(
+        self,
+        address: str,
+        exchange: Callable[[Connection], Awaitable[Exchanged]],
+        timeout_s: float,
+    ) -> Exchanged | None:
+        """Return the result of an exchange of calls on one connection.
+
+        Returns None where call does; timeout_s is for the whole exchange.
+        """
         if not bound.is_address(address):
             return None
         with anyio.move_on_after(timeout_s):
             try:
                 connection = await self._take(address)
-                return await self._call(connection, request)
+                return await self._exchange(connection, exchange)
             except _CALL_ERRORS:
                 return None
         return None
@@ -173,17 +197,19 @@
         """Return the number of connections that carry no call."""
         return sum(map(len, self._idle.values()))
 
-    async def _call(
-        self, connection: Connection, request: HttpRequest
-    ) -> HttpReply:
+    async def _exchange(
+        self,
+        connection: Connection,
+        exchange: Callable[[Connection], Awaitable[Exchanged]],
+    ) -> Exchanged:
         async with contextlib.AsyncExitStack() as stack:
             # Without a reply the next one could answer the earlier request.
             stack.push_async_callback(connection.close)
-            reply = await connection.call(request)
+            exchanged = await exchange(connection)
             if connection.is_reusable():
                 stack.pop_all()
                 self._idle.setdefault(connection.address, []).append(connection)
-        return reply
+        return exchanged
 
     async def _take(self, address: str) -> Connection:
         """Return an idle connection, or else a new one."""
--- a/mulberrywalk/platform/worker_client.py
+++ b/mulberrywalk/platform/worker_client.py
@@ -2,9 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
 from types import MappingProxyType
-from typing import Any
+from typing import Any, TypeAlias
 
 import msgspec
 
@@ -21,6 +20,8 @@
 _MS_PER_S = 1000
 _EXPECTED_INSTANCE_HEADER = 'Mulberrywalk-Expected-Instance'
 _MISDIRECTED_REQUEST = 421
+_PollReply: TypeAlias = target_client.PollResult | target_client.CallResult
+
 _HEADERS = MappingProxyType(
     {'Content-Type': 'application/json', 'Accept-Encoding': 'identity'}
 )
@@ -36,21 +37,14 @@
 )
 
 
-async def post(
-    connections: http_client.ConnectionPool,
-    address: str,
-    path: str,
-    body: dict[str, Any],
-    headers: Mapping[str, str],
-    timeout_s: float,
-) -> http_client.HttpReply | None:
-    """Send a POST request; return the reply, or None if there is none."""
-    request = http_client.HttpRequest(path, headers, msgspec.json.encode(body))
-    return await connections.call(address, request, timeout_s)
-
-
 class WorkerClient(target_client.TargetClient):
-    """Sends polls and commands to workers over HTTP."""
+    """Sends polls and commands to workers over HTTP.
+
+    A worker that starts again under its id answers calls meant for its earlier
+    incarnation. A connection reaches one incarnation only, so a call that must
+    not reach another one is sent on a connection on which that incarnation has
+    answered; on a new connection a poll without numbers goes first.
+    """
 
     def __init__(
         self,
@@ -67,27 +61,21 @@
         request: target_client.PollRequest,
     ) -> target_client.PollResult | target_client.CallResult:
         """Poll a worker; return its state, or why the poll failed."""
-        body: dict[str, Any] = {
-            'fencingToken': request.term,
-            'ackCursor': request.acknowledged,
-        }
-        if request.lease_until_ms is not None:
-            body['deadlineMs'] = request.lease_until_ms
-        if request.wait_ms:
-            body['waitMs'] = request.wait_ms
+
+        async def exchange(connection: http_client.Connection) -> _PollReply:
+            if _carries_numbers(request):
+                found = await self._identify(
+                    connection, destination, request.term
+                )
+                if found is not None:
+                    return found
+            return await self._poll(connection, destination, request)
+
         timeout_s = _POLL_MARGIN_S + request.wait_ms / _MS_PER_S
-        reply = await self._call(destination, 'hold', body, timeout_s)
-        if reply is None:
-            return target_client.CallResult.NO_REPLY
-        if reply.status != http.OK:
-            return _to_call_result(reply)
-        try:
-            return wire.read_listing(reply.body)
-        except wire.WireError as error:
-            self._event_log.warn(
-                'listing refused', f'from {destination.target}: {error}'
-            )
-            return target_client.CallResult.INVALID
+        reply = await self._connections.use(
+            destination.address, exchange, timeout_s
+        )
+        return reply or target_client.CallResult.NO_REPLY
 
     async def start(
         self,
@@ -107,7 +95,20 @@
             body['checkpoint'] = command.checkpoint
         if command.ticket:
             body['ticket'] = command.ticket
-        return await self._send_command(destination, 'run-start', body)
+        request = _create_request(destination, 'run-start', body)
+
+        async def exchange(
+            connection: http_client.Connection,
+        ) -> target_client.CallResult:
+            found = await self._identify(connection, destination, term)
+            if found is not None:
+                return _explain_unsent(found)
+            return _to_call_result(await connection.call(request))
+
+        call_result = await self._connections.use(
+            destination.address, exchange, _COMMAND_TIMEOUT_S
+        )
+        return call_result or target_client.CallResult.NO_REPLY
 
     async def stop(
         self,
@@ -137,28 +138,65 @@
         path: str,
         body: dict[str, Any],
     ) -> target_client.CallResult:
-        reply = await self._call(destination, path, body, _COMMAND_TIMEOUT_S)
+        """Send a command that any incarnation may get."""
+        reply = await self._connections.call(
+            destination.address,
+            _create_request(destination, path, body),
+            _COMMAND_TIMEOUT_S,
+        )
         return (
             target_client.CallResult.NO_REPLY
             if reply is None
             else _to_call_result(reply)
         )
 
-    async def _call(
+    async def _identify(
         self,
+        connection: http_client.Connection,
         destination: target_client.Destination,
-        path: str,
-        body: dict[str, Any],
-        timeout_s: float,
-    ) -> http_client.HttpReply | None:
-        return await post(
-            self._connections,
-            destination.address,
-            f'/{path}',
-            body,
-            {**_HEADERS, _EXPECTED_INSTANCE_HEADER: destination.target},
-            timeout_s,
+        term: int,
+    ) -> _PollReply | None:
+        """Return None if a connection reaches the named incarnation.
+
+        Otherwise return the answer of the other one, or why there is none.
+        """
+        if connection.peer == destination.born_at:
+            return None
+        request = target_client.PollRequest(
+            term, lease_until_ms=None, acknowledged=0, wait_ms=0
         )
+        found = await self._poll(connection, destination, request)
+        return None if connection.peer == destination.born_at else found
+
+    async def _poll(
+        self,
+        connection: http_client.Connection,
+        destination: target_client.Destination,
+        request: target_client.PollRequest,
+    ) -> _PollReply:
+        """Poll on one connection, and note who has answered on it."""
+        body: dict[str, Any] = {
+            'fencingToken': request.term,
+            'ackCursor': request.acknowledged,
+        }
+        if request.lease_until_ms is not None:
+            body['deadlineMs'] = request.lease_until_ms
+        if request.wait_ms:
+            body['waitMs'] = request.wait_ms
+        reply = await connection.call(
+            _create_request(destination, 'hold', body)
+        )
+        if reply.status != http.OK:
+            return _to_call_result(reply)
+        try:
+            listing = wire.read_listing(reply.body)
+        except wire.WireError as error:
+            self._event_log.warn(
+                'listing refused', f'from {destination.target}: {error}'
+            )
+            return target_client.CallResult.INVALID
+        connection.peer = listing.born_at
+        return listing
 
 
 class HttpAdviserClient(adviser.AdviserClient):
@@ -179,12 +217,10 @@
         self, step: identity.StepId, targets: tuple[identity.TargetId, ...]
     ) -> tuple[tuple[identity.TargetId, str], ...] | None:
         """Return the allowed workers and their tickets, or None on failure."""
-        reply = await post(
-            self._connections,
+        body = msgspec.json.encode({'step': step, 'workers': targets})
+        reply = await self._connections.call(
             self._address,
-            '/advise',
-            {'step': step, 'workers': targets},
-            _HEADERS,
+            http_client.HttpRequest('/advise', _HEADERS, body),
             _ADVICE_TIMEOUT_S,
         )
         if reply is None or reply.status != http.OK:
@@ -196,6 +232,33 @@
             return None
 
 
+def _create_request(
+    destination: target_client.Destination, path: str, body: dict[str, Any]
+) -> http_client.HttpRequest:
+    headers = {**_HEADERS, _EXPECTED_INSTANCE_HEADER: destination.target}
+    return http_client.HttpRequest(
+        f'/{path}', headers, msgspec.json.encode(body)
+    )
+
+
+def _carries_numbers(request: target_client.PollRequest) -> bool:
+    """Return whether a poll is meaningful to one incarnation only."""
+    return request.lease_until_ms is not None or request.acknowledged > 0
+
+
+def _explain_unsent(found: _PollReply) -> target_client.CallResult:
+    """Return the result of a start that was not sent."""
+    if isinstance(found, target_client.PollResult):
+        return target_client.CallResult.WRONG_INCARNATION
+    if found in {
+        target_client.CallResult.FENCED,
+        target_client.CallResult.WRONG_INCARNATION,
+    }:
+        return found
+    # The poll that went first failed, which is no refusal of the start.
+    return target_client.CallResult.NO_REPLY
+
+
 def _command_body(attempt: identity.AttemptId, term: int) -> dict[str, Any]:
     task, run = wire.split_attempt_id(attempt)
     return {'task': task, 'runId': run, 'fencingToken': term}
--- a/mulberrywalk/platform/worker_client_test.py
+++ b/mulberrywalk/platform/worker_client_test.py
@@ -14,6 +14,7 @@
 from ..telemetry import journal
 from . import http_client, worker_client
 
+BORN = 5
 INVALID_ADDRESSES = (
     '',
     '127.0.0.1',
@@ -39,14 +40,16 @@
 
 @pytest.mark.parametrize('address', INVALID_ADDRESSES)
 def test_poll_of_invalid_address_gets_no_reply(address):
-    destination = target_client.Destination(identity.TargetId('i-1'), address)
+    destination = target_client.Destination(
+        identity.TargetId('i-1'), address, BORN
+    )
     assert poll_destination(destination) is target_client.CallResult.NO_REPLY
 
 
 @pytest.mark.parametrize('name', ['\xe9', 'a\nb', '\x00', '\u2488'])
 def test_poll_with_id_invalid_in_header_gets_no_reply(name):
     destination = target_client.Destination(
-        identity.TargetId(name), '127.0.0.1:9'
+        identity.TargetId(name), '127.0.0.1:9', BORN
     )
     assert poll_destination(destination) is target_client.CallResult.NO_REPLY
 
@@ -96,7 +99,7 @@
 def poll_server(server):
     address = f'127.0.0.1:{server.server_port}'
     return poll_destination(
-        target_client.Destination(identity.TargetId('i-1'), address)
+        target_client.Destination(identity.TargetId('i-1'), address, BORN)
     )
 
 
--- /dev/null
+++ b/mulberrywalk/platform/worker_incarnation_test.py
@@ -0,0 +1,173 @@
+"""Calls to a worker that starts again under its id, at its address."""
+
+import contextlib
+import json
+import socket
+import threading
+from http import server as http_server
+
+import anyio
+import pytest
+
+from ..core import identity
+from ..entry import target_client
+from ..telemetry import journal
+from ..transport import wire as messages
+from . import http_client, worker_client
+
+FIRST_LIFE = 5
+SECOND_LIFE = 6
+LEASE_UNTIL_MS = 15_000
+REQUEST = target_client.PollRequest(
+    term=1, lease_until_ms=LEASE_UNTIL_MS, acknowledged=57, wait_ms=0
+)
+COMMAND = messages.StartCommand(
+    attempt=identity.AttemptId('j.0.0.0/1'),
+    task=identity.TaskId('j.0.0.0'),
+    millicores=1,
+    memory_bytes=1,
+    accelerators=0,
+    estimate_ms=1,
+    payload='',
+)
+
+
+class _RequestHandler(http_server.BaseHTTPRequestHandler):
+    """Answers the calls of one connection while its worker lives."""
+
+    protocol_version = 'HTTP/1.1'
+
+    def setup(self):
+        super().setup()
+        self.server.sockets.append(self.connection)
+
+    def do_POST(self):
+        body = json.loads(self.rfile.read(int(self.headers['content-length'])))
+        self.server.calls.append((self.server.born, self.path, body))
+        listing = {
+            'clockMs': 1,
+            'born': self.server.born,
+            'running': [],
+            'finished': [],
+        }
+        encoded = json.dumps(listing).encode()
+        self.send_response(self.server.status)
+        self.send_header('content-length', str(len(encoded)))
+        self.end_headers()
+        self.wfile.write(encoded)
+
+    def log_message(self, *_):
+        """Log nothing."""
+
+
+@pytest.fixture
+def worker():
+    running_server = http_server.ThreadingHTTPServer(
+        ('127.0.0.1', 0), _RequestHandler
+    )
+    running_server.daemon_threads = True
+    running_server.born = FIRST_LIFE
+    running_server.status = 200
+    running_server.calls = []
+    running_server.sockets = []
+    threading.Thread(target=running_server.serve_forever, daemon=True).start()
+    yield running_server
+    running_server.shutdown()
+
+
+def restart(worker):
+    """End the worker's connections; its calls are recorded from here on."""
+    worker.born = SECOND_LIFE
+    for one in worker.sockets:
+        with contextlib.suppress(OSError):
+            one.shutdown(socket.SHUT_RDWR)
+    worker.calls.clear()
+
+
+def call_first_life(worker, *calls, client=None):
+    """Make calls for the worker's first life; return the last result."""
+    client = client or worker_client.WorkerClient(
+        http_client.ConnectionPool(), journal.Journal(journal.Origin('e', 'd'))
+    )
+    destination = target_client.Destination(
+        identity.TargetId('i-1'),
+        f'127.0.0.1:{worker.server_port}',
+        FIRST_LIFE,
+    )
+
+    async def run():
+        for call in calls:
+            call_result = await call(client, destination)
+        return call_result
+
+    return anyio.run(run)
+
+
+async def poll(client, destination):
+    return await client.poll(destination, REQUEST)
+
+
+async def start(client, destination):
+    return await client.start(destination, COMMAND, LEASE_UNTIL_MS, 1)
+
+
+@pytest.mark.parametrize('earlier', [(), (poll,), (poll, start)])
+def test_restarted_worker_gets_no_lease_of_its_earlier_life(worker, earlier):
+    """Its clock starts at zero: the time would be a lease of maximal length.
+
+    The tasks were then run elsewhere too, while the worker was still at work.
+    """
+
+    async def restart_worker(client, destination):
+        restart(worker)
+
+    found = call_first_life(worker, *earlier, restart_worker, poll)
+    assert found.born_at == SECOND_LIFE
+    bodies = [body for _, _, body in worker.calls]
+    assert bodies
+    assert not any('deadlineMs' in body for body in bodies)
+    assert not any(body['ackCursor'] for body in bodies)
+
+
+def test_restarted_worker_gets_no_start_of_its_earlier_life(worker):
+    async def restart_worker(client, destination):
+        restart(worker)
+
+    found = call_first_life(worker, poll, restart_worker, start)
+    assert found is target_client.CallResult.WRONG_INCARNATION
+    assert {path for _, path, _ in worker.calls} == {'/hold'}
+
+
+def test_connection_is_identified_once(worker):
+    assert call_first_life(worker, poll, start, poll).born_at == FIRST_LIFE
+    paths = [path for _, path, _ in worker.calls]
+    assert paths == ['/hold', '/hold', '/run-start', '/hold']
+    bodies = [body for _, _, body in worker.calls]
+    assert 'deadlineMs' not in bodies[0]
+    assert all(body['deadlineMs'] == LEASE_UNTIL_MS for body in bodies[1:])
+
+
+def test_poll_without_numbers_identifies_its_connection(worker):
+    async def poll_first(client, destination):
+        request = target_client.PollRequest(1, None, 0, 0)
+        return await client.poll(destination, request)
+
+    call_first_life(worker, poll_first, start)
+    assert [path for _, path, _ in worker.calls] == ['/hold', '/run-start']
+
+
+@pytest.mark.parametrize(
+    ('status', 'expected'),
+    [
+        (503, target_client.CallResult.NO_REPLY),
+        (500, target_client.CallResult.NO_REPLY),
+        (421, target_client.CallResult.WRONG_INCARNATION),
+    ],
+)
+def test_failed_identification_is_no_refusal_of_a_start(
+    worker, status, expected
+):
+    """A refused start counts against the target, and nothing was sent."""
+    worker.status = status
+    assert call_first_life(worker, start) is expected
+    assert {path for _, path, _ in worker.calls} == {'/hold'}
