Release the address that a restarted target has left

The index of addresses kept the entry of the address that was left, and a newcomer there ends the session of the target that the entry names.

Two of three tests failed before: the newcomer's, and the index of a restored replica.

A target that starts again elsewhere releases its address. The stale entry also refused late announcements from there: that is now decided by the name of the target as well as by the address, and has the third test, which passed before.

--- a/mulberrywalk/core/session.py
+++ b/mulberrywalk/core/session.py
@@ -233,6 +233,8 @@
         speed=existing.speed if existing else target.Speed(),
         unsteady_until=existing.unsteady_until if existing else 0,
     )
+    if existing is not None:
+        _release_address(tables, existing)
     if record.address:
         tables.addresses[record.address] = record.target
     old_capacities = set(tables.fleet.capacities)
@@ -269,12 +271,19 @@
 def _is_superseded(
     tables: state.State, announcement: event.Announcement
 ) -> bool:
-    """Return whether a newer process is known at the target's address."""
-    successor = tables.addresses.get(announcement.address)
-    existing = tables.targets.get(successor) if successor else None
-    if existing is None or existing.session is None:
-        return False
-    return tables.sessions[existing.session].born_at > announcement.born_at
+    """Return whether a newer process of the same address or name is known.
+
+    A target that starts again may do so at another address.
+    """
+    names = {tables.addresses.get(announcement.address)}
+    if announcement.born_at:
+        names.add(announcement.target)
+    existing = (tables.targets.get(name) for name in names if name is not None)
+    return any(
+        tables.sessions[record.session].born_at > announcement.born_at
+        for record in existing
+        if record is not None and record.session is not None
+    )
 
 
 def _end_previous_target(
@@ -386,8 +395,13 @@
     tables.fleet.remove(load.target)
     record = tables.targets.pop(load.target)
     tables.silent.discard(load.target)
-    if tables.addresses.get(record.address) == record.target:
-        tables.addresses.pop(record.address)
+    _release_address(tables, record)
     tables.quarantined.discard((record.health.until, load.target))
     if load.capacity not in tables.fleet.capacities:
         _requeue_waiting(tables)
+
+
+def _release_address(tables: state.State, record: target.Target) -> None:
+    """Remove the index entry of an address that a target leaves."""
+    if tables.addresses.get(record.address) == record.target:
+        tables.addresses.pop(record.address)
--- a/mulberrywalk/core/session_test.py
+++ b/mulberrywalk/core/session_test.py
@@ -1,6 +1,6 @@
 """Sessions of targets that join, leave or fall silent."""
 
-from . import cell_test, effect, event, job
+from . import cell_test, effect, event, job, outcome, snapshot
 
 
 def test_leaving_target_gets_nothing_and_recalls_starts():
@@ -53,3 +53,40 @@
     cell.submit(cell_test.specify(1))
     cell.dispatch()
     assert len(cell.tables.attempts) == 1
+
+
+FIRST_LIFE = cell_test.announce(0, '100', born_at=100, address='a:1')
+MOVED_LIFE = cell_test.announce(0, '200', born_at=200, address='a:2')
+
+
+def create_moved_target():
+    """Return a cell whose only target has started again elsewhere."""
+    cell = cell_test.Cell()
+    cell.apply(event.SessionOpened, FIRST_LIFE)
+    cell.apply(event.SessionOpened, MOVED_LIFE)
+    cell.submit(cell_test.specify(1))
+    cell.dispatch()
+    return cell
+
+
+def test_newcomer_at_an_address_left_ends_no_session_of_who_has_left_it():
+    """The tasks of a target that runs on elsewhere were started again."""
+    cell = create_moved_target()
+    placed = cell_test.only(cell.tables.attempts.values())
+    newcomer = cell_test.announce(1, '300', born_at=300, address='a:1')
+    effects = cell.apply(event.SessionOpened, newcomer)
+    assert isinstance(effects[0].outcome, outcome.SessionGranted)
+    assert cell_test.only(cell.tables.attempts.values()) == placed
+    assert len(cell.tables.sessions) == 2
+
+
+def test_late_announcement_from_an_address_left_opens_no_session():
+    cell = create_moved_target()
+    late = cell.apply(event.SessionOpened, FIRST_LIFE)[0].outcome
+    assert late.reason is outcome.RefusalReason.SUPERSEDED_LIFE
+
+
+def test_addresses_are_the_same_in_a_restored_replica():
+    tables = create_moved_target().tables
+    restored = snapshot.decode(snapshot.encode(tables))
+    assert restored.addresses == tables.addresses == {'a:2': 't0'}
