Complete the members of a gang that wait since a run that has completed

The session of one member had ended, so its task waited; the done of the other completed that task alone. A gang is placed as a whole only, and late ends of gangs were left out, so the task that waited was neither placed nor completed.

A done completes those that wait since the same run.

--- a/mulberrywalk/core/late_end.py
+++ b/mulberrywalk/core/late_end.py
@@ -24,10 +24,8 @@
     task = tables.tasks.get(_task_of(ended.attempt))
     if task is None or not _may_complete(tables, task):
         return
-    lost = next(
-        (one for one in task.history if one.attempt == ended.attempt), None
-    )
-    if lost is not None and lost.reason in _LOST_REASONS:
+    lost = _find_lost(tables, task, ended.attempt)
+    if lost is not None:
         queueing.remove_task(tables, task)
         attempt = _restore(tables, task, lost)
         workflow.complete_task(tables, task, attempt)
@@ -42,7 +40,28 @@
         return False
     record_of_job = tables.jobs[task.job]
     has_ended = record_of_job.is_cancelled or record_of_job.is_abandoned
-    return not (has_ended or needs.is_gang or needs.is_lasting)
+    return not (has_ended or needs.is_lasting)
+
+
+def _find_lost(
+    tables: state.State, task: job.Task, attempt: identity.AttemptId
+) -> job.AttemptRecord | None:
+    """Return the record of an attempt that was taken for lost, or None.
+
+    Of a gang only the latest run counts: the members of a later one may still
+    be at work.
+    """
+    lost = next((one for one in task.history if one.attempt == attempt), None)
+    if lost is None or lost.reason not in _LOST_REASONS:
+        return None
+    needs = tables.task_specification(task)
+    is_gang = isinstance(needs, job.StepSpecification) and needs.is_gang
+    is_latest = _number_of(attempt) == task.attempts
+    return lost if is_latest or not is_gang else None
+
+
+def _number_of(attempt: identity.AttemptId) -> int:
+    return int(attempt.rpartition('/')[2])
 
 
 def _task_of(attempt: identity.AttemptId) -> identity.TaskId:
@@ -60,4 +79,5 @@
         held=tables.demand(task),
         placed_at=lost.placed_at,
         started_at=lost.started_at,
+        number=_number_of(lost.attempt),
     )
--- a/mulberrywalk/core/late_end_test.py
+++ b/mulberrywalk/core/late_end_test.py
@@ -1,7 +1,5 @@
 """A completion that a lost session left unreported is not run again."""
 
-import pytest
-
 from . import cell_test, event, job, workflow_test
 
 
@@ -52,11 +50,46 @@
     assert cell.tables.tasks[first.task].attempt == second.attempt
 
 
-@pytest.mark.parametrize('changes', [{'is_lasting': True}, {'is_gang': True}])
-def test_lasting_task_and_gang_run_again(changes):
+def test_lasting_task_runs_again():
     cell = cell_test.Cell(targets=1)
-    first = place(cell, cell_test.step(1, **changes))
+    first = place(cell, cell_test.step(1, is_lasting=True))
     session = lose_target(cell, first)
     report_end(cell, session, first)
     started = cell_test.only(workflow_test.started_attempts(cell.dispatch()))
     assert started.task == first.task
+
+
+def place_gang(cell):
+    cell.submit(workflow_test.workflow(cell_test.step(2, is_gang=True)))
+    return workflow_test.started_attempts(cell.dispatch())
+
+
+def test_gang_that_was_completed_before_its_sessions_were_lost_runs_once():
+    cell = cell_test.Cell(targets=1)
+    first, _ = place_gang(cell)
+    session = lose_target(cell, first)
+    report_end(cell, session, first)
+    assert not workflow_test.started_attempts(cell.dispatch(1000))
+    assert workflow_test.state_of(cell) is job.JobState.COMPLETED
+
+
+def test_gang_that_was_placed_meanwhile_goes_on():
+    cell = cell_test.Cell(targets=1)
+    first, _ = place_gang(cell)
+    session = lose_target(cell, first)
+    again = workflow_test.started_attempts(cell.dispatch())
+    report_end(cell, session, first)
+    live = {one.attempt for one in cell.tables.attempts.values()}
+    assert live == {one.attempt for one in again}
+
+
+def test_completion_of_an_earlier_run_completes_no_gang_that_waits_again():
+    cell = cell_test.Cell(targets=1)
+    first, _ = place_gang(cell)
+    session = lose_target(cell, first)
+    again = workflow_test.started_attempts(cell.dispatch())
+    for one in again:
+        cell.report(one, job.EndReason.GANG_BROKEN)
+    report_end(cell, session, first)
+    started = workflow_test.started_attempts(cell.dispatch(1000))
+    assert {one.number for one in started} == {3}
--- a/mulberrywalk/core/workflow.py
+++ b/mulberrywalk/core/workflow.py
@@ -242,16 +242,41 @@
 def complete_task(
     tables: state.State, task: job.Task, attempt: job.Attempt
 ) -> None:
-    """Complete a task by an attempt; its step ends with the last task."""
+    """Complete a task by an attempt; its step ends with the last task.
+
+    The members of a gang complete together: those that wait because their
+    attempts of the same run were taken for lost are completed too.
+    """
     step = tables.steps[task.step_id()]
-    needs = tables.step_specification(step)
-    step = msgspec.structs.replace(step, unfinished=step.unfinished - 1)
-    if needs.is_gang:
-        step = msgspec.structs.replace(step, completed_run=attempt.number)
     if attempt.started_at:
         queue = tables.specification(task).queue
         elapsed_ms = tables.time - attempt.started_at
         estimate.add_sample(tables, queue, attempt.target, elapsed_ms)
+    is_gang = tables.step_specification(step).is_gang
+    if is_gang:
+        step = msgspec.structs.replace(step, completed_run=attempt.number)
+        tables.steps[step.step] = step
+    _finish_completed(tables, task)
+    if is_gang:
+        for member in _waiting_members(tables, step, attempt.number):
+            queueing.remove_task(tables, member)
+            _finish_completed(tables, member)
+
+
+def _waiting_members(
+    tables: state.State, step: job.Step, number: int
+) -> list[job.Task]:
+    """Return the members of a gang that wait since the run of that number."""
+    return [
+        member
+        for member in members_of(tables, step)
+        if member.state is job.TaskState.WAITING and member.attempts == number
+    ]
+
+
+def _finish_completed(tables: state.State, task: job.Task) -> None:
+    step = tables.steps[task.step_id()]
+    step = msgspec.structs.replace(step, unfinished=step.unfinished - 1)
     tables.steps[step.step] = step
     lifecycle.finish_task(tables, task, job.TaskState.COMPLETED)
     if step.unfinished == 0:
--- a/mulberrywalk/core/workflow_test.py
+++ b/mulberrywalk/core/workflow_test.py
@@ -129,6 +129,27 @@
     assert state_of(cell) is job.JobState.COMPLETED
 
 
+def test_gang_of_which_a_member_was_taken_for_lost_completes_as_a_whole():
+    """The member waited for good, since the others had completed."""
+    cell = cell_test.Cell(targets=3)
+    cell.submit(
+        workflow(
+            cell_test.step(3, millicores=4000, is_gang=True),
+            cell_test.step(1, after=(0,)),
+        )
+    )
+    lost, other, last = started_attempts(cell.dispatch())
+    for member in (lost, other, last):
+        cell.start(member)
+    cell.apply(event.SessionExpired, lost.session)
+    cell.report(other, job.EndReason.COMPLETED)
+    cell.apply(event.SessionExpired, last.session)
+    following = cell_test.only(started_attempts(cell.dispatch(1000)))
+    assert following.task == f'{PREFIX}.0.1.0'
+    cell.report(following, job.EndReason.COMPLETED)
+    assert state_of(cell) is job.JobState.COMPLETED
+
+
 def test_member_that_never_started_stops_the_others():
     cell = cell_test.Cell(targets=3)
     cell.submit(workflow(cell_test.step(3, is_gang=True)))
