Put lasting steps that fit on no target behind their queue

A pass tries the first 64 steps of a queue. Lasting steps are never put back, so those that fit nowhere filled the 64 for good.

The test failed before.

A lasting step that suits no known target, even an empty one, is demoted 2 s after its release. Lasting work that is overdue gets room by the reservation, which doesn't go by the queue, so that a target that comes later is used at once (a second test, which passed before too). Nothing is demoted while no target is known.

--- a/mulberrywalk/core/dispatch_test.py
+++ b/mulberrywalk/core/dispatch_test.py
@@ -2,7 +2,7 @@
 
 import collections
 
-from . import cell_test, event, job
+from . import cell_test, event, job, workflow_test
 
 
 def test_service_spreads_over_data_centres():
@@ -78,3 +78,42 @@
     cell.submit(cell_test.specify(1, count=12))
     cell.dispatch()
     assert len(cell.tables.attempts) == 6
+
+
+def submit_hopeless(cell, number, **changes):
+    """Submit a job of four lasting steps that fit on no target."""
+    needs = cell_test.step(1, millicores=50_000, is_lasting=True, **changes)
+    name = f'hopeless{number}'
+    cell.submit(
+        workflow_test.workflow(*(needs,) * 4, job=name, request_id=name)
+    )
+
+
+def test_lasting_steps_that_fit_nowhere_keep_no_other_job_out():
+    """64 of them filled the part of the queue that is tried in a pass."""
+    cell = cell_test.Cell(targets=1)
+    for number in range(20):
+        submit_hopeless(cell, number)
+    cell.submit(workflow_test.workflow(cell_test.step(1)))
+    assert not workflow_test.started_attempts(cell.dispatch())
+    started = [
+        one
+        for _ in range(12)
+        for one in workflow_test.started_attempts(
+            cell.dispatch(milliseconds=250)
+        )
+    ]
+    assert [one.task for one in started] == [f'{workflow_test.PREFIX}.0.0.0']
+
+
+def test_lasting_step_starts_once_a_target_comes_that_it_fits_on():
+    cell = cell_test.Cell(targets=1)
+    needs = cell_test.step(1, is_lasting=True, label='b')
+    cell.submit(workflow_test.workflow(needs))
+    for _ in range(12):
+        assert not workflow_test.started_attempts(
+            cell.dispatch(milliseconds=250)
+        )
+    cell.apply(event.SessionOpened, cell_test.announce(1, 'n', labels=('b',)))
+    started = cell_test.only(workflow_test.started_attempts(cell.dispatch(250)))
+    assert started.target == 't1'
--- a/mulberrywalk/core/workflow.py
+++ b/mulberrywalk/core/workflow.py
@@ -18,6 +18,7 @@
     lifecycle,
     objective,
     queueing,
+    resource,
     retry,
     speed,
     state,
@@ -31,6 +32,8 @@
 _WORTHLESS_FACTOR = 3
 # Moves worthless steps behind all other work and keeps their order.
 _DEMOTION_MS = 600_000
+# How long a lasting step may wait for a target that it fits on.
+_MISFIT_PATIENCE_MS = 2000
 
 # End reasons after which every member of a gang has to run again.
 _GANG_RESTART_REASONS = frozenset(
@@ -130,13 +133,17 @@
     """Move a step behind others once its job is too late to be worth anything.
 
     The step is not dropped, because every accepted job is run. Lasting work
-    is never demoted, because it is worth something whenever it runs. Returns
-    whether the step was demoted by this call.
+    is worth something whenever it runs: it is demoted only while it fits on no
+    known target. Should one come, overdue lasting work gets room wherever it
+    stands in its queue. Returns whether the step was demoted by this call.
     """
     step = tables.steps[name]
-    if tables.step_specification(step).is_lasting:
+    if _is_demoted(step):
         return False
-    if tables.time < step.worthless_at or _is_demoted(step):
+    if tables.step_specification(step).is_lasting:
+        if not _fits_nowhere(tables, step):
+            return False
+    elif tables.time < step.worthless_at:
         return False
     numbers = list(tables.waiting.steps[name])
     members = members_of(tables, step)
@@ -174,6 +181,23 @@
     return recurrence.first_at + occurrence * recurrence.interval_ms
 
 
+def _fits_nowhere(tables: state.State, step: job.Step) -> bool:
+    """Return whether a step has waited and suits no target, even an empty one.
+
+    False while no target is known, as when a cell starts.
+    """
+    loads = tables.fleet.loads.values()
+    if not loads or tables.time - step.released_at < _MISFIT_PATIENCE_MS:
+        return False
+    needs = tables.step_specification(step)
+    pool = tables.jobs[step.job].specification.pool
+    demand = needs.demand()
+    return not any(
+        load.matches(pool, needs.label) and resource.fits(demand, load.capacity)
+        for load in loads
+    )
+
+
 def _is_demoted(step: job.Step) -> bool:
     # Before a demotion, the order is earlier than worthless_at.
     return step.order > step.worthless_at + _DEMOTION_MS // 2
