Call a target that closes its connections after each reply

A target that ends its connection with each reply could take no second call there: the call failed before it was sent, so that such a target held no lease and got no start.

The connection is opened again for the call that follows, and is unknown again after it. The target has answered just before, and starting again takes longer than connecting. test_worker_that_closes_its_connections_gets_leases_and_starts failed before.

--- a/mulberrywalk/platform/http_client.py
+++ b/mulberrywalk/platform/http_client.py
@@ -71,11 +71,8 @@
     def __init__(self, address: str, stream: SocketStream) -> None:
         """Use a stream that is connected to the address."""
         self.address = address
-        self.peer: int | None = None
         self.used_at = time.monotonic()
-        self._stream = stream
-        self._protocol = h11.Connection(h11.CLIENT)
-        self._socket = stream.extra_attributes[SocketAttribute.raw_socket]()
+        self._use(stream)
 
     def is_reusable(self) -> bool:
         """Return whether another call can be sent.
@@ -100,10 +97,24 @@
         self.used_at = time.monotonic()
         return reply
 
+    async def reopen(self) -> None:
+        """Replace a stream that takes no further call; the peer is unknown.
+
+        Raises one of _CALL_ERRORS.
+        """
+        await self.close()
+        self._use(await _connect(self.address))
+
     async def close(self) -> None:
         """Close the connection without waiting for the remote end."""
         await anyio.aclose_forcefully(self._stream)
 
+    def _use(self, stream: SocketStream) -> None:
+        self.peer: int | None = None
+        self._stream = stream
+        self._protocol = h11.Connection(h11.CLIENT)
+        self._socket = stream.extra_attributes[SocketAttribute.raw_socket]()
+
     def _encode(self, request: HttpRequest) -> bytes:
         headers = {
             'Host': self.address,
@@ -220,8 +231,7 @@
                 return connection
             await connection.close()
         await self._close_unused()
-        host, _, port = address.rpartition(':')
-        return Connection(address, await anyio.connect_tcp(host, int(port)))
+        return Connection(address, await _connect(address))
 
     async def _close_unused(self) -> None:
         """Close the connections to all addresses that were idle for long."""
@@ -242,6 +252,11 @@
         }
 
 
+async def _connect(address: str) -> SocketStream:
+    host, _, port = address.rpartition(':')
+    return await anyio.connect_tcp(host, int(port))
+
+
 def _is_closed_or_readable(descriptor: int) -> bool:
     """Return whether a descriptor is negative or has something to read."""
     if descriptor < 0:
--- a/mulberrywalk/platform/worker_client.py
+++ b/mulberrywalk/platform/worker_client.py
@@ -166,7 +166,13 @@
             term, lease_until_ms=None, acknowledged=0, wait_ms=0
         )
         found = await self._poll(connection, destination, request)
-        return None if connection.peer == destination.born_at else found
+        if connection.peer != destination.born_at:
+            return found
+        if not connection.is_reusable():
+            # A worker that closes its connections after each reply has just
+            # answered, and starting again takes longer than connecting.
+            await connection.reopen()
+        return None
 
     async def _poll(
         self,
--- a/mulberrywalk/platform/worker_incarnation_test.py
+++ b/mulberrywalk/platform/worker_incarnation_test.py
@@ -53,6 +53,8 @@
         encoded = json.dumps(listing).encode()
         self.send_response(self.server.status)
         self.send_header('content-length', str(len(encoded)))
+        if self.server.closes_connections:
+            self.send_header('connection', 'close')
         self.end_headers()
         self.wfile.write(encoded)
 
@@ -68,6 +70,7 @@
     running_server.daemon_threads = True
     running_server.born = FIRST_LIFE
     running_server.status = 200
+    running_server.closes_connections = False
     running_server.calls = []
     running_server.sockets = []
     threading.Thread(target=running_server.serve_forever, daemon=True).start()
@@ -171,3 +174,24 @@
     worker.status = status
     assert call_first_life(worker, start) is expected
     assert {path for _, path, _ in worker.calls} == {'/hold'}
+
+
+def test_worker_that_closes_its_connections_gets_leases_and_starts(worker):
+    worker.closes_connections = True
+    started = call_first_life(worker, poll, start)
+    assert started is target_client.CallResult.DONE
+    paths = [path for _, path, _ in worker.calls]
+    assert paths == ['/hold', '/hold', '/hold', '/run-start']
+    with_numbers = [body for _, _, body in worker.calls[1::2]]
+    assert all(body['deadlineMs'] == LEASE_UNTIL_MS for body in with_numbers)
+
+
+def test_connection_that_was_opened_again_is_identified_again(worker):
+    worker.closes_connections = True
+
+    async def keep_connections_and_restart(client, destination):
+        worker.closes_connections = False
+        restart(worker)
+
+    found = call_first_life(worker, poll, keep_connections_and_restart, start)
+    assert found is target_client.CallResult.WRONG_INCARNATION
