Log commands, messages and lines that are dropped, and how long a stop takes

New lines: unknown run reported, command dropped, message not read, N log lines lost; stopping_ms in 'ended', after_ms in 'start:' and 'stop:'. New metrics: unknown_runs, messages_unread, stopping_longest_ms. No decision changes. The lines of a target's calls move to entry/call_log.py.

--- a/mulberrywalk/core/job.py
+++ b/mulberrywalk/core/job.py
@@ -290,6 +290,7 @@
     larger of the declared and the reported amounts. number counts the attempts
     of the task; members of a gang share it. If the target has restarted since,
     lost_at is the last contact with its earlier incarnation, otherwise zero.
+    stopping_at is when the stop was decided, zero before.
     """
 
     attempt: identity.AttemptId
@@ -304,6 +305,7 @@
     ticket: str = ''
     number: int = 0
     lost_at: int = 0
+    stopping_at: int = 0
 
 
 class Task(msgspec.Struct, frozen=True, gc=False):
--- a/mulberrywalk/core/lifecycle.py
+++ b/mulberrywalk/core/lifecycle.py
@@ -129,7 +129,9 @@
     """Ask the target to stop an attempt, which holds capacity until it ends."""
     if attempt.stopping is not None:
         return
-    stopped = msgspec.structs.replace(attempt, stopping=reason)
+    stopped = msgspec.structs.replace(
+        attempt, stopping=reason, stopping_at=tables.time
+    )
     state.replace_attempt(tables, stopped)
     tables.emit(effect.StopAttempt(stopped))
     trace(tables, 'stopping', stopped, reason.value)
--- a/mulberrywalk/core/session.py
+++ b/mulberrywalk/core/session.py
@@ -348,6 +348,7 @@
         attempt,
         session=session,
         stopping=attempt.stopping or job.StopReason.RECALLED,
+        stopping_at=attempt.stopping_at or tables.time,
         lost_at=lost_at,
     )
     state.remove_attempt(tables, attempt)
--- a/mulberrywalk/core/trace_detail_test.py
+++ b/mulberrywalk/core/trace_detail_test.py
@@ -54,7 +54,7 @@
     effects = cell.apply(event.SessionExpired, attempt.session)
     assert find_detail(effects, 'ended') == (
         'session_lost placed_ms_ago=5100 started_ms_ago=5000'
-        ' stopping=cancelled silent_ms=4200'
+        ' stopping=cancelled stopping_ms=3000 silent_ms=4200'
     )
 
 
@@ -72,7 +72,7 @@
     effects = cell.report(recalled, job.EndReason.NEVER_STARTED)
     assert find_detail(effects, 'ended') == (
         'never_started placed_ms_ago=900 started_ms_ago=900'
-        ' stopping=recalled lost_ms=900'
+        ' stopping=recalled stopping_ms=900 lost_ms=900'
     )
 
 
--- a/mulberrywalk/entry/connection_test.py
+++ b/mulberrywalk/entry/connection_test.py
@@ -40,7 +40,9 @@
 
 def client_for(leader):
     event_log = journal.Journal(journal.Origin('e', 'd'))
-    sessions = session.Sessions(leader)
+    sessions = session.Sessions(
+        leader, journal.Journal(journal.Origin('e', 'd'))
+    )
     targets = connection.Connections(leader, sessions, event_log)
     api = http_api.HttpApi(leader, targets, event_log, metric.NoMetrics())
     return testclient.TestClient(api.application())
--- a/mulberrywalk/entry/first_lease_test.py
+++ b/mulberrywalk/entry/first_lease_test.py
@@ -9,7 +9,9 @@
 def test_target_without_a_lease_is_not_polled_without_pause():
     target = polled_test.FakeTarget()
     leader = polled_test.FakeLeader()
-    sessions = session.Sessions(leader)
+    sessions = session.Sessions(
+        leader, journal.Journal(journal.Origin('e', 'd'))
+    )
     event_log = journal.Journal(journal.Origin('e', 'd'))
 
     async def run():
--- a/mulberrywalk/entry/polled.py
+++ b/mulberrywalk/entry/polled.py
@@ -16,6 +16,7 @@
 from ..telemetry import clock, journal
 from ..transport import wire
 from . import (
+    call_log,
     filler,
     reporting,
     session,
@@ -70,7 +71,7 @@
         self._client = client
         self._leader = leader
         self._sessions = sessions
-        self._event_log = event_log
+        self._call_log = call_log.CallLog(event_log, assigned.target)
         self._lease = target_client.Lease(assigned.lease_ms)
         self._term = assigned.term
         self._lease_granted = anyio.Event()
@@ -116,7 +117,12 @@
 
     def command(self, commands: wire.Commands) -> None:
         """Send each of the leader's commands as a call."""
-        if self._has_ended or commands.term < self._term:
+        if self._has_ended:
+            self._call_log.record_dropped(commands, 'the session has ended')
+            return
+        if commands.term < self._term:
+            reason = f'of term {commands.term} in term {self._term}'
+            self._call_log.record_dropped(commands, reason)
             return
         if self._group is None:
             self._early_commands.append(commands)
@@ -192,16 +198,15 @@
         )
         poll_result = await self._client.poll(self._destination, request)
         if isinstance(poll_result, target_client.CallResult):
-            self._log(f'look: {poll_result.value}')
+            self._call_log.record(f'look: {poll_result.value}')
             if poll_result is target_client.CallResult.FENCED:
                 # The entry that a later leader has assigned polls the target.
                 self.end()
             return False
         if poll_result.born_at != self.assigned.born_at:
-            self._event_log.record(
+            self._call_log.record(
                 'look: other incarnation',
-                f'born at {poll_result.born_at}',
-                target=self._destination.target,
+                detail=f'born at {poll_result.born_at}',
             )
             return False
         self._lease.sample_clock(poll_result.clock_ms, clock.monotonic_ms())
@@ -245,13 +250,13 @@
         A stop is sent as well, which bars them at a target that executes it.
         """
         for attempt in self._start_deadlines.find_contradictions(poll_result):
-            self._log('expired start has run', attempt)
+            self._call_log.record('expired start has run', attempt)
         absent = self._start_deadlines.take_absent(expired, poll_result)
         now = clock.monotonic_ms()
         if not absent or self._group is None:
             return
         for attempt in absent:
-            self._log('start expired', attempt)
+            self._call_log.record('start expired', attempt)
             self._pacer.remove(attempt)
             self._group.start_soon(
                 self._client.stop, self._destination, attempt, self._term
@@ -271,13 +276,14 @@
         with anyio.move_on_after(_FIRST_LEASE_TIMEOUT_S):
             await self._lease_held.wait()
         call_result = target_client.CallResult.NO_REPLY
+        received_at = clock.monotonic_ms()
         for _ in range(_MAX_START_TRIES):
             async with self._call_limit:
                 deadline_ms = self._start_deadlines.next_deadline(
                     command.attempt, clock.monotonic_ms()
                 )
                 if deadline_ms is None:
-                    self._log(
+                    self._call_log.record(
                         'start not sent: no valid lease or deadline',
                         command.attempt,
                     )
@@ -285,7 +291,9 @@
                 call_result = await self._client.start(
                     self._destination, command, deadline_ms, term
                 )
-            self._log(f'start: {call_result.value}', command.attempt)
+            self._call_log.record_call(
+                'start', call_result, command.attempt, received_at
+            )
             if call_result is not target_client.CallResult.NO_REPLY:
                 break
         await self._handle_start_result(command, call_result, term)
@@ -327,13 +335,16 @@
             self._add_barred(attempt, call_result)
 
     async def _stop(self, attempt: identity.AttemptId, term: int) -> None:
+        received_at = clock.monotonic_ms()
         call_result = target_client.CallResult.NO_REPLY
         for _ in range(_MAX_STOP_TRIES):
             async with self._call_limit:
                 call_result = await self._client.stop(
                     self._destination, attempt, term
                 )
-            self._log(f'stop: {call_result.value}', attempt)
+            self._call_log.record_call(
+                'stop', call_result, attempt, received_at
+            )
             if call_result is not target_client.CallResult.NO_REPLY:
                 break
         if call_result in {
@@ -371,14 +382,6 @@
         if call_result is not target_client.CallResult.DONE:
             self._pacer.forget_pace(attempt)
 
-    def _log(self, what: str, attempt: str = '') -> None:
-        self._event_log.record(
-            what,
-            attempt=attempt,
-            job=attempt.split('.', maxsplit=1)[0],
-            target=self._destination.target,
-        )
-
 
 def _usual_wait_ms(pacer: filler.FillerPacer) -> int:
     if pacer.is_idle():
--- a/mulberrywalk/entry/polled_test.py
+++ b/mulberrywalk/entry/polled_test.py
@@ -135,7 +135,9 @@
 def run_session(target, scenario, **overrides):
     """Run a session against a target while the scenario drives it."""
     leader = FakeLeader()
-    sessions = session.Sessions(leader)
+    sessions = session.Sessions(
+        leader, journal.Journal(journal.Origin('e', 'd'))
+    )
     event_log = journal.Journal(journal.Origin('e', 'd'))
 
     async def run():
@@ -228,7 +230,9 @@
 def test_start_waits_for_a_lease():
     target = FakeTarget()
     leader = FakeLeader()
-    sessions = session.Sessions(leader)
+    sessions = session.Sessions(
+        leader, journal.Journal(journal.Origin('e', 'd'))
+    )
     event_log = journal.Journal(journal.Origin('e', 'd'))
 
     async def run():
@@ -454,7 +458,9 @@
 def run_targets(target, scenario):
     """Run the polled targets during the scenario; return the event log."""
     leader = FakeLeader()
-    sessions = session.Sessions(leader)
+    sessions = session.Sessions(
+        leader, journal.Journal(journal.Origin('e', 'd'))
+    )
     event_log = journal.Journal(journal.Origin('e', 'd'))
 
     async def run():
@@ -501,7 +507,11 @@
     async def run():
         target.poll = fail
         polled_session = polled.PolledSession(
-            assignment(), target, leader, session.Sessions(leader), event_log
+            assignment(),
+            target,
+            leader,
+            session.Sessions(leader, journal.Journal(journal.Origin('e', 'd'))),
+            event_log,
         )
         with pytest.raises(ExceptionGroup):
             await polled_session.run()
--- a/mulberrywalk/entry/program.py
+++ b/mulberrywalk/entry/program.py
@@ -114,7 +114,7 @@
         cost.Meter(),
         configuration_max_age_ms=settings.configuration_max_age_ms,
     )
-    sessions = session.Sessions(leader)
+    sessions = session.Sessions(leader, event_log)
     targets = connection.Connections(leader, sessions, event_log)
     api = http_api.HttpApi(leader, targets, event_log, metrics)
     active_extension = extension or NoExtension()
--- a/mulberrywalk/entry/session.py
+++ b/mulberrywalk/entry/session.py
@@ -6,9 +6,9 @@
 import dataclasses
 
 from ..core import identity
-from ..telemetry import clock
+from ..telemetry import clock, journal
 from ..transport import wire
-from . import upstream
+from . import call_log, upstream
 
 # How long a target counts as just heard after it has answered. Within this time
 # a request for renewal that reached no leader is sent to the next one.
@@ -57,10 +57,13 @@
 class Sessions:
     """All target sessions of this entry, by session id."""
 
-    def __init__(self, leader: upstream.Upstream) -> None:
+    def __init__(
+        self, leader: upstream.Upstream, event_log: journal.Journal
+    ) -> None:
         """Register as the handler of the leader's messages for targets."""
         self.open: dict[identity.SessionId, TargetSession] = {}
         self._leader = leader
+        self._event_log = event_log
         self._unanswered: dict[identity.SessionId, _RenewalRequest] = {}
         leader.target_handlers = upstream.TargetHandlers(
             self._list_polled,
@@ -150,7 +153,12 @@
 
     def _command(self, commands: wire.Commands) -> None:
         target_session = self.open.get(commands.session)
-        if target_session is not None:
+        if target_session is None:
+            reason = f'session {commands.session} is not open here'
+            unknown = identity.TargetId('')
+            log = call_log.CallLog(self._event_log, unknown)
+            log.record_dropped(commands, reason)
+        else:
             target_session.command(commands)
 
     def _renew(self, renewed: wire.RenewedSessions) -> None:
--- a/mulberrywalk/entry/session_test.py
+++ b/mulberrywalk/entry/session_test.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from ..telemetry import clock
+from ..telemetry import clock, journal
 from ..transport import wire
 from . import session
 
@@ -47,7 +47,7 @@
 
 @pytest.fixture
 def sessions(leader, now):
-    return session.Sessions(leader)
+    return session.Sessions(leader, journal.Journal(journal.Origin('e', 'd')))
 
 
 def send_renewals(leader, now):
@@ -95,3 +95,14 @@
     leader.link()
     send_renewals(leader, now)
     assert not leader.sent
+
+
+def test_stop_for_a_session_of_another_entry_is_logged():
+    event_log = journal.Journal(journal.Origin('e', 'd'))
+    leader = FakeLeader()
+    session.Sessions(leader, event_log)
+    stop = wire.StopCommand('j.0.0.0/1', is_checkpointed=False)
+    leader.target_handlers.command(wire.Commands('s9', stop=(stop,), term=3))
+    line = event_log.find(journal.Filter(job='j'))[0]
+    assert line.what == 'command dropped'
+    assert line.detail == 'stop: session s9 is not open here'
--- a/mulberrywalk/replica/delivery.py
+++ b/mulberrywalk/replica/delivery.py
@@ -76,6 +76,23 @@
         """Acknowledge recorded ends, so that the target can drop them."""
         self._send(wire.Commands(ended.session, acknowledge=ended.attempts))
 
+    def longest_stop_ms(self, event_time: int) -> int:
+        """Return for how long the oldest stop has waited for its end.
+
+        event_time is the time of a new event, in milliseconds since 1970. A
+        stop of a silent target is left out: it waits for the lease.
+        """
+        tables = self._engine.tables
+        attempts = (tables.attempts.get(name) for name in self._sent_at)
+        waited_ms = (
+            event_time - attempt.stopping_at
+            for attempt in attempts
+            if attempt is not None
+            and attempt.stopping is not None
+            and tables.targets[attempt.target].silence is None
+        )
+        return max(waited_ms, default=0)
+
     def resend_overdue(self, now: int) -> None:
         """Resend the commands that were not confirmed in time."""
         for name, sent_at in list(self._sent_at.items()):
--- a/mulberrywalk/replica/delivery_test.py
+++ b/mulberrywalk/replica/delivery_test.py
@@ -92,6 +92,17 @@
     assert not scene.delivery.expire(session, attempt.attempt)
 
 
+def test_longest_stop_is_counted_from_its_decision():
+    scene = Scene()
+    cell = scene.engine.cell
+    attempt = scene.engine.attempt
+    assert not scene.delivery.longest_stop_ms(cell.now)
+    cell.apply(event.JobCancelled, attempt.task.split('.')[0])
+    assert scene.delivery.longest_stop_ms(cell.now + 400) == 400
+    cell.apply(event.SilenceNoted, attempt.session, 1200)
+    assert not scene.delivery.longest_stop_ms(cell.now + 400)
+
+
 def test_start_of_another_session_does_not_expire():
     scene = Scene()
     attempt = scene.engine.attempt
--- a/mulberrywalk/replica/leader.py
+++ b/mulberrywalk/replica/leader.py
@@ -181,6 +181,8 @@
                 self._assignments,
                 self._advice_queue,
                 self._requests,
+                self._journal,
+                self._metrics,
             ),
         )
         self._effects: MappingProxyType[Any, Callable[..., None]] = (
@@ -264,6 +266,10 @@
         self._metrics.gauge('sessions', len(tables.sessions))
         self._metrics.gauge('waiting', sum(tables.waiting.counts.values()))
         self._metrics.gauge('backlog', self._engine.backlog())
+        self._metrics.gauge(
+            'stopping_longest_ms',
+            self._delivery.longest_stop_ms(self._engine.time()),
+        )
         self._metrics.gauge(
             'targets_of_busiest_entry',
             max(self._assignments.count_by_entry().values(), default=0),
@@ -303,6 +309,13 @@
     def _receive(self, origin: link.Link, received: wire.FromEntry) -> None:
         if self._engine.is_serving():
             self._message_handler.receive(origin, received)
+        else:
+            self._metrics.incr('messages_unread')
+            kind = type(received).__name__
+            self._journal.record(
+                'message not read',
+                f'{kind} from {origin.process}: this leader is not confirmed',
+            )
 
     def _lease_length_of(self, session: identity.SessionId) -> int:
         record = self._engine.tables.sessions.get(session)
--- a/mulberrywalk/replica/message_handler.py
+++ b/mulberrywalk/replica/message_handler.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 from ..core import event, identity, outcome
-from ..telemetry import clock
+from ..telemetry import clock, journal, metric
 from ..transport import wire
 from . import (
     advice_queue,
@@ -33,6 +33,8 @@
     assignments: assignment.Assignments
     advice_requests: advice_queue.AdviceQueue
     requests: request.Requests
+    logger: journal.Journal
+    metrics: metric.Metrics
 
 
 class MessageHandler:
@@ -168,12 +170,25 @@
             if reported.attempt not in attempts
             or attempts[reported.attempt].session != received.session
         )
+        for stopped in stop_commands:
+            self._components.metrics.incr('unknown_runs')
+            self._components.logger.record(
+                'unknown run reported',
+                f'by {origin.process}, stop sent',
+                attempt=stopped.attempt,
+                job=stopped.attempt.split('.', maxsplit=1)[0],
+                target=self._target_of(received.session),
+            )
         if stop_commands:
             term = self._engine.node.term
             origin.send(
                 wire.Commands(received.session, stop=stop_commands, term=term)
             )
 
+    def _target_of(self, name: identity.SessionId) -> str:
+        known = self._engine.tables.sessions.get(name)
+        return known.target if known else ''
+
     def _accept_expired(
         self, origin: link.Link, received: wire.Report
     ) -> tuple[event.AttemptEnd, ...]:
--- a/mulberrywalk/replica/message_handler_test.py
+++ b/mulberrywalk/replica/message_handler_test.py
@@ -4,6 +4,7 @@
 import pytest
 
 from ..core import cell_test, event, job
+from ..telemetry import journal, metric
 from ..transport import wire
 from . import assignment, assignment_test, message_handler
 
@@ -15,6 +16,8 @@
         self.assignments = scene.assignments
         self.delivery = self
         self.is_accepted = True
+        self.logger = scene.logger
+        self.metrics = metric.Exposition(metric.NoMetrics())
 
     def expire(self, session, name):
         return self.is_accepted
@@ -81,3 +84,6 @@
     command = cell_test.only(anyio.run(origin.outbox.take, 0))
     assert [one.attempt for one in command.stop] == ['j.0.0.0/1']
     assert command.term == scene.engine.node.term
+    line = cell_test.only(scene.logger.find(journal.Filter(job='j')))
+    assert (line.what, line.target) == ('unknown run reported', 't0')
+    assert 'unknown_runs_total 1' in scene.components.metrics.render()
--- a/mulberrywalk/telemetry/journal.py
+++ b/mulberrywalk/telemetry/journal.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import collections
-import contextlib
 import dataclasses
 import os
 import sys
@@ -89,15 +88,38 @@
 class NonBlockingOutput:
     """Standard output that drops lines instead of blocking on a slow reader."""
 
-    def __init__(self) -> None:
+    def __init__(self, *, is_json: bool) -> None:
         """Make the standard output of the process non-blocking."""
+        self._is_json = is_json
         self._descriptor = sys.stdout.fileno()
+        self._lost = 0
         os.set_blocking(self._descriptor, False)
 
     def __call__(self, message: str) -> None:
-        """Write one line; the part that does not fit into the pipe is lost."""
-        with contextlib.suppress(BlockingIOError, BrokenPipeError):
-            os.write(self._descriptor, message.encode())
+        """Write one line; the part that does not fit into the pipe is lost.
+
+        The next line that fits is preceded by one that counts those lost.
+        """
+        lines = message.encode()
+        if self._lost:
+            lines = b''.join((self._describe_loss(), lines))
+        try:
+            written = os.write(self._descriptor, lines)
+        except (BlockingIOError, BrokenPipeError):
+            written = 0
+        is_whole = written == len(lines)
+        self._lost = 0 if is_whole else self._lost + 1
+
+    def count_lost(self) -> int:
+        """Return the number of lines lost since the last one written."""
+        return self._lost
+
+    def _describe_loss(self) -> bytes:
+        text = f'{self._lost} log lines lost'
+        if self._is_json:
+            fields = {'level': 'WARNING', 'message': text}
+            return b'%b\n' % msgspec.json.encode(fields)
+        return f'{text}\n'.encode()
 
 
 class Journal:
@@ -184,7 +206,8 @@
     """Send the log of this process to standard output."""
     loguru.logger.remove()
     formatter = _format_json if is_json else _format_text
-    loguru.logger.add(NonBlockingOutput(), format=formatter, catch=False)
+    output = NonBlockingOutput(is_json=is_json)
+    loguru.logger.add(output, format=formatter, catch=False)
 
 
 def _format_json(record: Any) -> str:
--- a/mulberrywalk/telemetry/journal_test.py
+++ b/mulberrywalk/telemetry/journal_test.py
@@ -1,6 +1,9 @@
 """Tests the order and filters of timeline lines and the log's rate limit."""
 
+import os
+
 import loguru
+import pytest
 
 from . import clock, journal
 
@@ -52,3 +55,25 @@
     assert len(written) == 201
     assert written[-1]['message'] == 'heartbeat refused: of i-1000'
     assert written[-1]['extra']['left_out'] == 800
+
+
+@pytest.mark.parametrize(
+    ('is_json', 'line'),
+    [
+        (True, b'{"level":"WARNING","message":"2 log lines lost"}'),
+        (False, b'2 log lines lost'),
+    ],
+)
+def test_lines_that_a_full_pipe_loses_are_counted(monkeypatch, is_json, line):
+    reader, writer = os.pipe()
+    with os.fdopen(reader, 'rb') as pipe, os.fdopen(writer, 'wb') as stdout:
+        monkeypatch.setattr(journal.sys, 'stdout', stdout)
+        output = journal.NonBlockingOutput(is_json=is_json)
+        while not output.count_lost():
+            output(f'{"x" * 4095}\n')
+        output('lost\n')
+        assert output.count_lost() == 2
+        os.read(pipe.fileno(), 1_000_000)
+        output('kept\n')
+        assert os.read(pipe.fileno(), 1_000_000).splitlines() == [line, b'kept']
+        assert not output.count_lost()
