--- /dev/null
+++ b/mulberrywalk/replica/link_test.py
@@ -0,0 +1,97 @@
+"""Links to entries while the leader cannot confirm that it leads."""
+
+import types
+
+import anyio
+import msgspec
+import pytest
+
+from ..core import event
+from ..telemetry import cost, journal
+from ..transport import channel, wire
+from . import link
+
+_UNCONFIRMED_S = 0.1
+
+
+class FakeContext:
+    """The leader's end of a stream from an entry."""
+
+    def __init__(self, *messages):
+        self.batches = [wire.FromEntryBatch('e0', 'dc0', 0, messages)]
+        self.sent = []
+
+    async def read(self):
+        if not self.batches:
+            await anyio.sleep_forever()
+        return msgspec.msgpack.encode(self.batches.pop(0))
+
+    async def write(self, encoded):
+        batch = msgspec.msgpack.decode(encoded, type=wire.ToEntryBatch)
+        self.sent.extend(batch.messages)
+
+
+class FakeEngine:
+    """An engine that serves until its leader is no longer confirmed."""
+
+    def __init__(self):
+        self.is_confirmed = True
+        self.node = types.SimpleNamespace(leader='')
+        configuration = types.SimpleNamespace(version=1)
+        self.tables = types.SimpleNamespace(configuration=configuration)
+
+    def is_serving(self):
+        return self.is_confirmed
+
+
+REPORT = wire.Report('s1', started=(event.AttemptStart('j.0.0.0/1', 5),))
+
+
+class Scene:
+    """A link whose leader loses its confirmation as the link opens."""
+
+    def __init__(self):
+        self.engine = FakeEngine()
+        self.read = []
+        self.links = link.Links(
+            self.engine,
+            journal.Journal(journal.Origin('r', 'dc0')),
+            cost.Meter(),
+            self.receive,
+            self.lose_confirmation,
+        )
+
+    def receive(self, origin, message):
+        if self.engine.is_serving():
+            self.read.append(message)
+
+    def lose_confirmation(self, origin):
+        self.engine.is_confirmed = False
+
+    async def serve(self, context, confirm_after_s):
+        async with anyio.create_task_group() as group:
+            group.start_soon(self.links.accept, context)
+            await anyio.sleep(confirm_after_s)
+            self.engine.is_confirmed = True
+            with anyio.move_on_after(1):
+                while self.links.open and not self.read:
+                    await anyio.sleep(0.01)
+            group.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize(
+    ('confirm_after_s', 'read'),
+    [
+        (_UNCONFIRMED_S, [REPORT]),
+        (2 * channel.HEARTBEAT_INTERVAL_S, []),
+    ],
+)
+def test_message_to_unconfirmed_leader_is_not_lost(confirm_after_s, read):
+    scene = Scene()
+    context = FakeContext(REPORT)
+    anyio.run(scene.serve, context, confirm_after_s)
+    assert scene.read == read
+    assert bool(scene.links.open) == bool(read)
+    assert any(isinstance(one, wire.Redirect) for one in context.sent) != bool(
+        read
+    )
--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -21,6 +21,7 @@
 _POLL_S = 0.005
 _HEARTBEAT_S = 0.5
 _START_DELAY_S = 2
+_LATE_START_WINDOW_MS = 1500
 
 
 @dataclasses.dataclass
@@ -90,6 +91,18 @@
             self._end_due_runs()
             return [run for run in self.runs if run.ended_at is None]
 
+    def execute_late_start(self, task: str, number: int) -> None:
+        """Execute a start that was held up; its deadline hasn't passed."""
+        with self._lock:
+            self._end_due_runs()
+            body = {
+                'task': task,
+                'runId': number,
+                'deadlineMs': self._clock_ms() + _LATE_START_WINDOW_MS,
+                'ticket': f'ticket of {self.name}',
+            }
+            self._execute_start(body)
+
     def close(self) -> None:
         """Stop listening."""
         self._server.shutdown()
