Resend the stop of a run that the leader doesn't know until its end is reported

What callers saw: a task of a cancelled job may run on for as long as its target is served. The leader sent one stop for a reported run that isn't in its state and kept no record of it; the entry calls three times at most. If these got lost, nobody sent another, while the polls went on extending the lease, until a new leader was told of all runs again.

Change: Delivery keeps such runs as it keeps the commands that derive from the state, and resends their stops to whichever entry serves the session, until an entry reports the end (listed by the target, or barred and not listed) or the session ends.

--- a/mulberrywalk/replica/assignment_test.py
+++ b/mulberrywalk/replica/assignment_test.py
@@ -60,15 +60,13 @@
         ]
         self.links = FakeLinks(*self.entries)
         self.leases = lease.Leases(0)
-        command_delivery = delivery.Delivery(
-            self.engine, self.links, self.leases
-        )
+        self.delivery = delivery.Delivery(self.engine, self.links, self.leases)
         self.logger = journal.Journal(journal.Origin('r', 'dc0'))
         self.assignments = assignment.Assignments(
             self.engine,
             self.links,
             self.leases,
-            command_delivery,
+            self.delivery,
             self.logger,
             0,
         )
--- a/mulberrywalk/replica/delivery.py
+++ b/mulberrywalk/replica/delivery.py
@@ -14,9 +14,11 @@
 class Delivery:
     """Sends commands and tracks those that no target has confirmed.
 
-    All of it derives from the replicated state: a new leader starts with every
-    attempt whose start is unconfirmed or that is being stopped. Times are
-    milliseconds of this process's monotonic clock.
+    A new leader starts with every attempt in the replicated state whose start
+    is unconfirmed or that is being stopped. Attempts that run although the
+    state does not have them are known from the reports of entries, which
+    report all running attempts to a new leader. Times are milliseconds of this
+    process's monotonic clock.
     """
 
     def __init__(
@@ -34,6 +36,11 @@
             for attempt in replica_engine.tables.attempts.values()
             if is_unconfirmed(attempt)
         }
+        # Attempts that a target runs and the state does not have, and when
+        # their stops were last sent.
+        self._unknown: dict[
+            tuple[identity.SessionId, identity.AttemptId], int
+        ] = {}
         # Attempts that can no longer start, until their end is committed.
         self._expired: set[identity.AttemptId] = set()
 
@@ -68,6 +75,35 @@
         command = stop_command(attempt)
         self._send(wire.Commands(attempt.session, stop=(command,)))
 
+    def stop_unknown(
+        self,
+        session: identity.SessionId,
+        name: identity.AttemptId,
+        entry: str,
+        now: int,
+    ) -> None:
+        """Stop an attempt that a target runs and the state does not have.
+
+        The stop is sent to the given entry, and resent to the entry that serves
+        the session until the attempt is reported as ended.
+        """
+        self._unknown[session, name] = now
+        command = wire.StopCommand(name, is_checkpointed=False)
+        self._send_to(entry, wire.Commands(session, stop=(command,)))
+
+    def confirm_end(
+        self, session: identity.SessionId, name: identity.AttemptId
+    ) -> None:
+        """Handle the reported end of an attempt, known or not."""
+        self._unknown.pop((session, name), None)
+
+    def is_unknown(
+        self, session: identity.SessionId, name: identity.AttemptId
+    ) -> bool:
+        """Return whether an attempt is not a live one of a session."""
+        attempt = self._engine.tables.attempts.get(name)
+        return attempt is None or attempt.session != session
+
     def throttle(self, attempt: job.Attempt) -> None:
         """Ask the target to limit an attempt to its declared resources."""
         self._send(wire.Commands(attempt.session, throttle=(attempt.attempt,)))
@@ -95,6 +131,7 @@
 
     def resend_overdue(self, now: int) -> None:
         """Resend the commands that were not confirmed in time."""
+        self._resend_overdue_unknown(now)
         for name, sent_at in list(self._sent_at.items()):
             attempt = self._engine.tables.attempts.get(name)
             if attempt is None or not is_unconfirmed(attempt):
@@ -111,6 +148,15 @@
             if is_unconfirmed(attempt):
                 self._resend(attempt, now)
 
+    def _resend_overdue_unknown(self, now: int) -> None:
+        sessions = self._engine.tables.sessions
+        for (session, name), sent_at in list(self._unknown.items()):
+            if session not in sessions or not self.is_unknown(session, name):
+                self._unknown.pop((session, name))
+            elif now - sent_at >= RESEND_INTERVAL_MS:
+                entry = self._leases.entry_of(session)
+                self.stop_unknown(session, name, entry, now)
+
     def _resend(self, attempt: job.Attempt, now: int) -> None:
         if attempt.stopping is not None:
             self.stop(attempt, now)
@@ -118,10 +164,13 @@
             self.start(attempt, now)
 
     def _send(self, commands: wire.Commands) -> None:
+        self._send_to(self._leases.entry_of(commands.session), commands)
+
+    def _send_to(self, entry: str, commands: wire.Commands) -> None:
         with_term = msgspec.structs.replace(
             commands, term=self._engine.node.term
         )
-        self._links.send(self._leases.entry_of(commands.session), with_term)
+        self._links.send(entry, with_term)
 
 
 def is_unconfirmed(attempt: job.Attempt) -> bool:
--- a/mulberrywalk/replica/message_handler.py
+++ b/mulberrywalk/replica/message_handler.py
@@ -163,27 +163,30 @@
         A delayed start command may be executed after its attempt has ended
         or was abandoned.
         """
-        attempts = self._engine.tables.attempts
-        stop_commands = tuple(
-            wire.StopCommand(reported.attempt, is_checkpointed=False)
-            for reported in received.started
-            if reported.attempt not in attempts
-            or attempts[reported.attempt].session != received.session
+        now = clock.monotonic_ms()
+        command_delivery = self._components.delivery
+        for reported in received.started:
+            name = reported.attempt
+            if command_delivery.is_unknown(received.session, name):
+                self._log_unknown(origin, received.session, name)
+                command_delivery.stop_unknown(
+                    received.session, name, origin.process, now
+                )
+
+    def _log_unknown(
+        self,
+        origin: link.Link,
+        session: identity.SessionId,
+        name: identity.AttemptId,
+    ) -> None:
+        self._components.metrics.incr('unknown_runs')
+        self._components.logger.record(
+            'unknown run reported',
+            f'by {origin.process}, stop sent',
+            attempt=name,
+            job=name.split('.', maxsplit=1)[0],
+            target=self._target_of(session),
         )
-        for stopped in stop_commands:
-            self._components.metrics.incr('unknown_runs')
-            self._components.logger.record(
-                'unknown run reported',
-                f'by {origin.process}, stop sent',
-                attempt=stopped.attempt,
-                job=stopped.attempt.split('.', maxsplit=1)[0],
-                target=self._target_of(received.session),
-            )
-        if stop_commands:
-            term = self._engine.node.term
-            origin.send(
-                wire.Commands(received.session, stop=stop_commands, term=term)
-            )
 
     def _target_of(self, name: identity.SessionId) -> str:
         known = self._engine.tables.sessions.get(name)
@@ -211,6 +214,10 @@
 
     def _propose_report(self, origin: link.Link, received: wire.Report) -> None:
         self._stop_unknown_attempts(origin, received)
+        for ended in received.ended:
+            self._components.delivery.confirm_end(
+                received.session, ended.attempt
+            )
         expired = self._accept_expired(origin, received)
 
         def notify(event_outcome: outcome.Outcome | None) -> None:
