Repeat a stop until the target replies

What callers saw: nothing by itself; work that was cancelled ran on for as long as its stops had no reply, and up to 1.5 s longer. The entry made three calls at once and gave up; the leader's next command came 1.5 s after the last.

Change: entry/pending_stop.py repeats a stop, after three calls at once every 0.15 s, under the term of the leader of that moment, until the target replies, the end is recorded or the session ends. The leader's resends start no second repetition.

--- a/mulberrywalk/entry/polled.py
+++ b/mulberrywalk/entry/polled.py
@@ -18,6 +18,7 @@
 from . import (
     call_log,
     filler,
+    pending_stop,
     reporting,
     session,
     start_deadline,
@@ -28,9 +29,8 @@
 _MS_PER_S = 1000
 _POLL_WAIT_MS = 500
 _IDLE_POLL_WAIT_MS = 1000
-# Calls made for one command that gets no reply; then the leader resends it. A
-# start is repeated until its deadline, after which no copy may be sent.
-_MAX_STOP_TRIES = 3
+# A start without a reply is repeated until its deadline, after which no copy
+# may be sent; then the leader resends it.
 _MAX_START_TRIES = 5
 _PACED_POLL_WAIT_MS = 400
 _FAILED_POLL_DELAY_S = 0.2
@@ -82,6 +82,9 @@
         self._group: TaskGroup | None = None
         self._pacer = filler.FillerPacer(assigned.shares)
         self._reports = reporting.ReportBuilder(assigned.session)
+        self._stops = pending_stop.PendingStops(
+            client, self._destination, self._call_limit, self._call_log
+        )
         # Commands received with the assignment, before the session runs.
         self._early_commands: list[wire.Commands] = []
         self._has_ended = False
@@ -128,16 +131,11 @@
             self._early_commands.append(commands)
             return
         self._term = commands.term
-        for start in commands.start:
-            self._pacer.add(start)
-            self._start_deadlines.add_start(start.attempt)
-            self._group.start_soon(self._start, start, commands.term)
-        for stop in commands.stop:
-            self._start_deadlines.add_stop(stop.attempt)
-            self._group.start_soon(self._stop, stop.attempt, commands.term)
+        self._start_calls(commands, self._group)
         self._reports.ends.acknowledge(commands.acknowledge)
         for acknowledged in commands.acknowledge:
             self._start_deadlines.remove(acknowledged)
+            self._stops.remove(acknowledged)
         if commands.acknowledge and self._reports.ends.is_acknowledged():
             self._committed.set()
 
@@ -158,6 +156,16 @@
     def relocate(self) -> None:
         """Do nothing: poll until the leader reassigns the target."""
 
+    def _start_calls(self, commands: wire.Commands, group: TaskGroup) -> None:
+        for start in commands.start:
+            self._pacer.add(start)
+            self._start_deadlines.add_start(start.attempt)
+            group.start_soon(self._start, start, commands.term)
+        for stop in commands.stop:
+            self._start_deadlines.add_stop(stop.attempt)
+            if self._stops.add(stop.attempt):
+                group.start_soon(self._stop, stop.attempt)
+
     async def _poll_loop(self) -> None:
         wait_ms = 0
         while True:
@@ -334,19 +342,8 @@
         }:
             self._add_barred(attempt, call_result)
 
-    async def _stop(self, attempt: identity.AttemptId, term: int) -> None:
-        received_at = clock.monotonic_ms()
-        call_result = target_client.CallResult.NO_REPLY
-        for _ in range(_MAX_STOP_TRIES):
-            async with self._call_limit:
-                call_result = await self._client.stop(
-                    self._destination, attempt, term
-                )
-            self._call_log.record_call(
-                'stop', call_result, attempt, received_at
-            )
-            if call_result is not target_client.CallResult.NO_REPLY:
-                break
+    async def _stop(self, attempt: identity.AttemptId) -> None:
+        call_result = await self._stops.send(attempt, lambda: self._term)
         if call_result in {
             target_client.CallResult.DONE,
             target_client.CallResult.BARRED,
