Let messages of entries wait while the leader can't confirm that it leads

What callers saw: nothing by itself. A leader that has just been paused, or whose followers answer late, dropped whatever it read from entries until it was confirmed again. If that came before its next heartbeat (0.25 s), the stream went on, and an entry reports the start of a run once per stream: the leader was never told.

Evidence: link_test.py fails before.

Change: a link reads on once the leader is confirmed; if it isn't by the next heartbeat, the link ends as before. Renewals that waited count from when they are read, which is later and so on the safe side.

--- a/mulberrywalk/replica/link.py
+++ b/mulberrywalk/replica/link.py
@@ -105,9 +105,21 @@
         while True:
             self._journal.clock.observe(batch.clock)
             for message in batch.messages:
+                await self._wait_until_serving()
                 self._on_message(link, message)
             batch = await stream.receive()
 
+    async def _wait_until_serving(self) -> None:
+        """Wait while this replica cannot confirm that it leads.
+
+        A message that is not handled would be lost to an entry whose stream
+        goes on. If this replica does not lead any more, _write ends the link
+        with its next heartbeat, and the entry sends its state to the next
+        leader.
+        """
+        while not self._engine.is_serving():
+            await anyio.sleep(_POLL_INTERVAL_S)
+
     async def _write(self, stream: EntryStream, link: Link) -> None:
         while True:
             messages = await link.outbox.take(channel.HEARTBEAT_INTERVAL_S)
--- a/mulberrywalk/replica/link_test.py
+++ b/mulberrywalk/replica/link_test.py
@@ -53,6 +53,7 @@
     def __init__(self):
         self.engine = FakeEngine()
         self.read = []
+        self.is_open = False
         self.links = link.Links(
             self.engine,
             journal.Journal(journal.Origin('r', 'dc0')),
@@ -76,6 +77,7 @@
             with anyio.move_on_after(1):
                 while self.links.open and not self.read:
                     await anyio.sleep(0.01)
+            self.is_open = bool(self.links.open)
             group.cancel_scope.cancel()
 
 
@@ -91,7 +93,7 @@
     context = FakeContext(REPORT)
     anyio.run(scene.serve, context, confirm_after_s)
     assert scene.read == read
-    assert bool(scene.links.open) == bool(read)
+    assert scene.is_open == bool(read)
     assert any(isinstance(one, wire.Redirect) for one in context.sent) != bool(
         read
     )
