Keep a session whose poll of an earlier term is refused

What callers saw: nothing by itself; a stop decided just after a change of leader could reach its target 2.5 s late. An entry that a new leader has told to go on ends the session when a poll that it sent before, under the earlier term, arrives after a call of the new term and is refused as fenced. The leader, which counts the entry as serving, then sends stops to a session that isn't open, until it misses the renewals.

Evidence: term_change_test.py fails before, with the lines 'look: fenced' and 'command dropped stop: the session has ended'; not seen over real processes.

Change: a refusal ends the session only if the poll carried the present term. An entry that a later leader has passed over still stops polling at once.

--- a/mulberrywalk/entry/polled.py
+++ b/mulberrywalk/entry/polled.py
@@ -207,7 +207,8 @@
         poll_result = await self._client.poll(self._destination, request)
         if isinstance(poll_result, target_client.CallResult):
             self._call_log.record(f'look: {poll_result.value}')
-            if poll_result is target_client.CallResult.FENCED:
+            is_fenced = poll_result is target_client.CallResult.FENCED
+            if is_fenced and request.term >= self._term:
                 # The entry that a later leader has assigned polls the target.
                 self.end()
             return False
