Repeat a stop that an unhealthy target refuses

A target that answers 429 or 503 has done nothing, as with no reply; the stop was left to the leader's resend, 1.5 s later. lost_stop_test.py fails before with such a target.

--- a/mulberrywalk/entry/lost_stop_test.py
+++ b/mulberrywalk/entry/lost_stop_test.py
@@ -1,6 +1,7 @@
 """Stops whose calls get no reply."""
 
 import anyio
+import pytest
 
 from ..transport import wire
 from . import polled_test, target_client
@@ -9,14 +10,15 @@
 class UnansweringTarget(polled_test.FakeTarget):
     """Leaves some stops without a reply."""
 
-    def __init__(self, unanswered):
+    def __init__(self, unanswered, lost=target_client.CallResult.NO_REPLY):
         super().__init__()
         self.unanswered = unanswered
+        self.lost = lost
 
     async def stop(self, destination, attempt, term):
         self.stops.append((attempt, term))
         if len(self.stops) <= self.unanswered:
-            return target_client.CallResult.NO_REPLY
+            return self.lost
         return target_client.CallResult.DONE
 
 
@@ -33,8 +35,12 @@
             await anyio.sleep(0.01)
 
 
-def test_stop_without_a_reply_is_repeated_until_it_has_one():
-    target = UnansweringTarget(6)
+@pytest.mark.parametrize(
+    'lost',
+    [target_client.CallResult.NO_REPLY, target_client.CallResult.UNHEALTHY],
+)
+def test_stop_is_repeated_until_the_target_has_handled_it(lost):
+    target = UnansweringTarget(6, lost)
 
     async def scenario(polled_session, leader):
         stop(polled_session)
--- a/mulberrywalk/entry/pending_stop.py
+++ b/mulberrywalk/entry/pending_stop.py
@@ -1,6 +1,7 @@
-"""Stops of attempts on one target, repeated until the target replies.
+"""Stops of attempts on one target, repeated until the target handles them.
 
-A call without a reply may have been lost, and the attempt goes on meanwhile.
+A call without a reply may have been lost, and an unhealthy target may refuse
+one; the attempt goes on meanwhile.
 """
 
 from __future__ import annotations
@@ -14,13 +15,17 @@
 from ..telemetry import clock
 from . import call_log, target_client
 
+# Results after which the attempt may go on.
+_UNSETTLED = frozenset(
+    (target_client.CallResult.NO_REPLY, target_client.CallResult.UNHEALTHY)
+)
 # The first calls follow each other at once.
 _PROMPT_TRIES = 3
 _RETRY_DELAY_S = 0.15
 
 
 class PendingStops:
-    """The attempts on one target whose stops have had no reply yet."""
+    """The attempts on one target whose stops it has not handled yet."""
 
     def __init__(
         self,
@@ -49,10 +54,10 @@
     async def send(
         self, attempt: identity.AttemptId, read_term: Callable[[], int]
     ) -> target_client.CallResult:
-        """Send the stop of an added attempt until it has a reply.
+        """Send the stop of an added attempt until the target has handled it.
 
         read_term returns the term of the leader at the time of each call.
-        Returns the reply, or NO_REPLY once the attempt was removed.
+        Returns the result of the last call.
         """
         received_at = clock.monotonic_ms()
         for tries in itertools.count(1):
@@ -61,8 +66,7 @@
                     self._destination, attempt, read_term()
                 )
             self._log.record_call('stop', call_result, attempt, received_at)
-            is_unanswered = call_result is target_client.CallResult.NO_REPLY
-            if not (is_unanswered and attempt in self._attempts):
+            if call_result not in _UNSETTLED or attempt not in self._attempts:
                 break
             if tries >= _PROMPT_TRIES:
                 await anyio.sleep(_RETRY_DELAY_S)
