--- a/mulberrywalk/entry/pending_stop.py
+++ b/mulberrywalk/entry/pending_stop.py
@@ -62,11 +62,17 @@
         received_at = clock.monotonic_ms()
         for tries in itertools.count(1):
             async with self._call_limit:
+                term = read_term()
                 call_result = await self._client.stop(
-                    self._destination, attempt, read_term()
+                    self._destination, attempt, term
                 )
             self._log.record_call('stop', call_result, attempt, received_at)
-            if call_result not in _UNSETTLED or attempt not in self._attempts:
+            is_outdated = (
+                call_result is target_client.CallResult.FENCED
+                and term < read_term()
+            )
+            is_unsettled = is_outdated or call_result in _UNSETTLED
+            if not (is_unsettled and attempt in self._attempts):
                 break
             if tries >= _PROMPT_TRIES:
                 await anyio.sleep(_RETRY_DELAY_S)
--- a/mulberrywalk/entry/term_change_test.py
+++ b/mulberrywalk/entry/term_change_test.py
@@ -3,7 +3,7 @@
 import anyio
 
 from ..transport import wire
-from . import polled_test, target_client
+from . import lost_stop_test, polled_test, target_client
 
 
 def test_fenced_poll_of_an_earlier_term_keeps_session():
@@ -38,3 +38,26 @@
 
     polled_test.run_session(target, scenario)
     assert target.stops == [polled_test.FIRST]
+
+
+def test_stop_of_a_new_leader_is_sent_beside_a_fenced_earlier_one():
+    """The stop of the earlier term is on its way when the leader changes."""
+    target = polled_test.FakeTarget()
+
+    async def stop(destination, attempt, term):
+        target.stops.append(term)
+        if term == 7:
+            await anyio.sleep(0.2)
+            return target_client.CallResult.FENCED
+        return target_client.CallResult.DONE
+
+    async def scenario(polled_session, leader):
+        target.stop = stop
+        lost_stop_test.stop(polled_session, term=7)
+        await lost_stop_test.wait_for_stops(target, 1)
+        polled_session.update_assignment(polled_test.assignment(term=8))
+        lost_stop_test.stop(polled_session, term=8)
+        await anyio.sleep(1.2)
+
+    polled_test.run_session(target, scenario)
+    assert 8 in target.stops
