Renew no lease before the end of a silence is committed

Cause: the first contact after a proposed silence proposes its end and is refused. A second contact before either is committed found neither a proposed silence nor one in the state, and renewed the lease. If the leader is lost with the silence committed and its end not, the next leader starts the lease at the silence. An entry polls again within milliseconds of an end or a stop, so two contacts within one commit are usual.

Change: the detector keeps the number of the latest proposal for a session until its outcome is known; until then the lease isn't renewed. All earlier proposals are committed before it. Contacts meanwhile count as heard, so that no new silence is proposed (that was so because they renewed).

Tests: test_new_leader_counts_no_lease_from_before_its_renewal failed before ([3520, 3530] renewed, lease counted from about 1000). test_contact_counts_while_the_end_of_a_ silence_is_not_committed failed before too ([60000, 0, 3000, 0, 3000, 0] proposed). The fake engine of the file now calls the callbacks, as the real one does; the test that applied events by hand commits them through it, with the same assertions.

--- a/mulberrywalk/replica/silence.py
+++ b/mulberrywalk/replica/silence.py
@@ -9,8 +9,10 @@
 
 from __future__ import annotations
 
-from ..core import event, identity
-from . import engine, lease, proposal
+import itertools
+
+from ..core import event, identity, outcome
+from . import engine, lease
 
 # A busy target is polled more often than an idle one. When an idle target
 # becomes busy, its next poll may still be a second away.
@@ -34,6 +36,10 @@
         self._engine = replica_engine
         self._leases = leases
         self._proposed: dict[identity.SessionId, bool] = {}
+        self._numbers = itertools.count(1)
+        # The number of the latest proposal for a session, until it is known to
+        # be committed, and with it all earlier ones.
+        self._uncommitted: dict[identity.SessionId, int] = {}
         self._heard_at: dict[identity.SessionId, int] = {}
         self._busy_since: dict[identity.SessionId, int] = {}
 
@@ -79,14 +85,16 @@
     def record_contact(self, session: identity.SessionId, now: int) -> bool:
         """Handle contact from a target; return whether it is not silent.
 
-        A proposed silence counts, since it may still be committed; its end is
-        proposed here.
+        A silence that was proposed counts until its end, which is proposed
+        here, is committed: a later leader may have only the silence.
         """
         if self._proposed.get(session, False):
-            self._heard_at[session] = now
             self._propose(session, 0)
-            return False
-        return not self._is_silent(session)
+        is_heard = session not in self._uncommitted
+        if is_heard and not self._is_silent(session):
+            return True
+        self._heard_at[session] = now
+        return False
 
     def _last_heard_at(self, session: identity.SessionId) -> int:
         renewed_at = self._leases.renewed_at(session)
@@ -114,7 +122,15 @@
 
     def _propose(self, session: identity.SessionId, quiet_ms: int) -> None:
         self._proposed[session] = bool(quiet_ms)
+        number = next(self._numbers)
+        self._uncommitted[session] = number
+
+        def note_commit(event_outcome: outcome.Outcome | None) -> None:
+            is_committed = event_outcome is not None
+            if is_committed and self._uncommitted.get(session) == number:
+                self._uncommitted.pop(session)
+
         self._engine.propose(
             event.SilenceNoted(self._engine.time(), session, quiet_ms),
-            proposal.ignore_outcome,
+            note_commit,
         )
--- a/mulberrywalk/replica/silence_test.py
+++ b/mulberrywalk/replica/silence_test.py
@@ -7,7 +7,10 @@
 
 
 class FakeEngine:
-    """A state with one target; proposals are recorded and applied at once."""
+    """A state with one target; proposals are recorded and applied at once.
+
+    With is_committing False they wait in the log for commit_next.
+    """
 
     def __init__(self):
         self.cell = cell_test.Cell()
@@ -16,6 +19,7 @@
         )
         self.session = effects[0].outcome.session
         self.proposed = []
+        self.waiting = []
         self.is_committing = True
 
     @property
@@ -27,10 +31,16 @@
 
     def propose(self, new_event, callback):
         self.proposed.append(new_event.quiet_ms)
+        self.waiting.append((new_event, callback))
         if self.is_committing:
-            self.cell.apply(
-                event.SilenceNoted, new_event.session, new_event.quiet_ms
-            )
+            self.commit_next()
+
+    def commit_next(self):
+        noted, callback = self.waiting.pop(0)
+        effects = self.cell.apply(
+            event.SilenceNoted, noted.session, noted.quiet_ms
+        )
+        callback(effects[0].outcome)
 
 
 class Scene:
@@ -91,14 +101,41 @@
     scene.detector.check(60_000)
     # Proposed but not committed: a later leader may still count from it.
     assert not scene.detector.record_contact(engine.session, 60_001)
-    engine.cell.apply(event.SilenceNoted, engine.session, engine.proposed[0])
+    engine.commit_next()
     assert not scene.detector.record_contact(engine.session, 60_002)
-    engine.cell.apply(event.SilenceNoted, engine.session, 0)
+    engine.commit_next()
     assert scene.detector.record_contact(engine.session, 60_003)
     scene.detector.check(60_004)
     assert engine.proposed[1:] == [0]
 
 
+def test_new_leader_counts_no_lease_from_before_its_renewal(engine):
+    """The silence is committed; its end is lost with the leader."""
+    engine.is_committing = False
+    first = Scene(engine)
+    first.leases.renew(engine.session, 'e0', 1000)
+    first.detector.check(1001 + silence.IDLE_TIMEOUT_MS)
+    renewed = [
+        now
+        for now in (3510, 3520, 3530)
+        if first.detector.record_contact(engine.session, now)
+    ]
+    engine.commit_next()
+    second = Scene(engine, now=3600)
+    counted_from = second.leases.renewed_at(engine.session)
+    assert all(counted_from >= now for now in renewed), renewed
+
+
+def test_contact_counts_while_the_end_of_a_silence_is_not_committed(engine):
+    engine.is_committing = False
+    scene = Scene(engine)
+    scene.detector.check(60_000)
+    for now in range(60_001, 70_000, 500):
+        scene.detector.record_contact(engine.session, now)
+        scene.detector.check(now)
+    assert engine.proposed == [60_000, 0]
+
+
 def test_new_leader_counts_a_lease_from_the_start_of_the_silence(engine):
     engine.cell.apply(event.SilenceNoted, engine.session, 2000)
     engine.cell.dispatch(1000)
