Stop a run whose end is committed while its report is under way

Cause: whether the leader knows a reported run was decided when the report came, by the state applied so far. An end that was proposed before and not committed (the proof that a start has expired, beside the late run of that start) removes the attempt afterwards; the report then changes nothing, and the entry doesn't repeat it while the run goes on.

Change: known attempts of a report are checked again with its commit, and a run that has become unknown is stopped as others are. A run whose end was reported meanwhile doesn't count, so short tasks get no needless stop.

Which worker runs a start past its deadline is open (docs/PLATFORM.md); by the code, it takes one for the two to cross.

--- a/mulberrywalk/replica/delivery.py
+++ b/mulberrywalk/replica/delivery.py
@@ -41,6 +41,11 @@
         self._unknown: dict[
             tuple[identity.SessionId, identity.AttemptId], int
         ] = {}
+        # Attempts reported as running that the state has, until the report is
+        # committed or their end is reported.
+        self._checked: set[tuple[identity.SessionId, identity.AttemptId]] = (
+            set()
+        )
         # Attempts that can no longer start, until their end is committed.
         self._expired: set[identity.AttemptId] = set()
 
@@ -96,6 +101,25 @@
     ) -> None:
         """Handle the reported end of an attempt, known or not."""
         self._unknown.pop((session, name), None)
+        self._checked.discard((session, name))
+
+    def check_later(
+        self, session: identity.SessionId, name: identity.AttemptId
+    ) -> None:
+        """Handle a report, not yet committed, that a known attempt runs."""
+        self._checked.add((session, name))
+
+    def has_become_unknown(
+        self, session: identity.SessionId, name: identity.AttemptId
+    ) -> bool:
+        """Return whether the state has lost an attempt that runs.
+
+        Called once for each report of check_later, when it is committed. An
+        attempt whose end was reported meanwhile doesn't count.
+        """
+        is_running = (session, name) in self._checked
+        self._checked.discard((session, name))
+        return is_running and self.is_unknown(session, name)
 
     def is_unknown(
         self, session: identity.SessionId, name: identity.AttemptId
--- a/mulberrywalk/replica/message_handler.py
+++ b/mulberrywalk/replica/message_handler.py
@@ -161,17 +161,43 @@
         """Stop reported attempts that are not live attempts of the session.
 
         A delayed start command may be executed after its attempt has ended
-        or was abandoned.
+        or was abandoned. The end may have been proposed and not be committed,
+        so known attempts are checked again with the commit of the report.
         """
-        now = clock.monotonic_ms()
         command_delivery = self._components.delivery
         for reported in received.started:
             name = reported.attempt
             if command_delivery.is_unknown(received.session, name):
-                self._log_unknown(origin, received.session, name)
-                command_delivery.stop_unknown(
-                    received.session, name, origin.process, now
-                )
+                self._stop_unknown(origin, received.session, name)
+            else:
+                command_delivery.check_later(received.session, name)
+
+    def _take_lost_attempts(
+        self, received: wire.Report
+    ) -> list[identity.AttemptId]:
+        """Return attempts that ended in the state while they were reported.
+
+        Called once for each report, when its outcome is known.
+        """
+        command_delivery = self._components.delivery
+        return [
+            reported.attempt
+            for reported in received.started
+            if command_delivery.has_become_unknown(
+                received.session, reported.attempt
+            )
+        ]
+
+    def _stop_unknown(
+        self,
+        origin: link.Link,
+        session: identity.SessionId,
+        name: identity.AttemptId,
+    ) -> None:
+        self._log_unknown(origin, session, name)
+        self._components.delivery.stop_unknown(
+            session, name, origin.process, clock.monotonic_ms()
+        )
 
     def _log_unknown(
         self,
@@ -221,8 +247,12 @@
         expired = self._accept_expired(origin, received)
 
         def notify(event_outcome: outcome.Outcome | None) -> None:
+            lost = self._take_lost_attempts(received)
             if isinstance(event_outcome, outcome.NotRun):
                 origin.send(wire.EndedSessions((received.session,)))
+            elif event_outcome is not None:
+                for name in lost:
+                    self._stop_unknown(origin, received.session, name)
 
         self._engine.propose(
             event.ReportReceived(
--- a/mulberrywalk/replica/message_handler_test.py
+++ b/mulberrywalk/replica/message_handler_test.py
@@ -3,7 +3,7 @@
 import anyio
 import pytest
 
-from ..core import cell_test, event, job
+from ..core import cell_test, event, job, reducer
 from ..telemetry import clock, journal, metric
 from ..transport import wire
 from . import assignment, assignment_test, delivery, message_handler
@@ -29,11 +29,15 @@
 
 
 class Scene(assignment_test.Scene):
-    """A leader with two entries that report expired starts."""
+    """A leader with two entries that report expired starts.
+
+    What it proposes waits for commit.
+    """
 
     def __init__(self):
         super().__init__('dc0', 'dc0')
         self.proposed = []
+        self.callbacks = []
         self.engine.propose = self.propose
         self.engine.time = int
         self.components = Components(self)
@@ -43,6 +47,19 @@
 
     def propose(self, proposed, notify):
         self.proposed.append(proposed)
+        self.callbacks.append(notify)
+
+    def commit(self):
+        """Apply what was proposed as one entry of the log."""
+        tables = self.engine.cell.tables
+        outcomes = [
+            reducer.reduce(tables, one)[1][0].outcome for one in self.proposed
+        ]
+        callbacks = self.callbacks
+        self.proposed = []
+        self.callbacks = []
+        for notify, event_outcome in zip(callbacks, outcomes, strict=True):
+            notify(event_outcome)
 
     def report(self, entry, number):
         ended = event.AttemptEnd('j.0.0.0/1', job.EndReason.START_EXPIRED, 5)
@@ -120,3 +137,55 @@
     scene.engine.cell.apply(event.SessionExpired, scene.engine.session)
     scene.components.delivery.resend_overdue(clock.monotonic_ms() + 2000)
     assert not anyio.run(scene.entries[0].outbox.take, 0)
+
+
+class PlacedScene(Scene):
+    """A leader whose first entry serves the target of a placed task."""
+
+    def __init__(self):
+        super().__init__()
+        cell = self.engine.cell
+        cell.now += 1
+        needs = cell_test.step(1, is_lasting=True)
+        cell.submit(cell_test.specify(1, job.Kind.WORKFLOW, steps=(needs,)))
+        cell.dispatch()
+        self.attempt = cell_test.only(self.engine.tables.attempts)
+        self.rebalance(assignment.CLAIM_GRACE_MS)
+        message = self.assigned(0)[0]
+        self.number = message.term, message.number
+
+    def report_all(self, **fields):
+        self.receiver.receive(
+            self.entries[0],
+            wire.Report(self.engine.session, assignment=self.number, **fields),
+        )
+
+    def stops(self):
+        sent = anyio.run(self.entries[0].outbox.take, 0)
+        commands = [one for one in sent if isinstance(one, wire.Commands)]
+        return [stop.attempt for one in commands for stop in one.stop]
+
+
+def test_run_whose_end_is_committed_after_its_report_is_stopped():
+    """The proof of an expired start and the start's late run cross."""
+    scene = PlacedScene()
+    expired = event.AttemptEnd(scene.attempt, job.EndReason.START_EXPIRED, 5)
+    scene.report_all(expired=(expired,))
+    scene.report_all(started=(event.AttemptStart(scene.attempt, 6),))
+    assert not scene.stops()
+    scene.commit()
+    assert scene.attempt not in scene.engine.tables.attempts
+    assert scene.stops() == [scene.attempt]
+    scene.components.delivery.resend_overdue(clock.monotonic_ms() + 2000)
+    assert scene.stops() == [scene.attempt]
+
+
+def test_run_that_ends_before_its_start_is_committed_is_not_stopped():
+    scene = PlacedScene()
+    scene.report_all(started=(event.AttemptStart(scene.attempt, 5),))
+    ended = event.AttemptEnd(scene.attempt, job.EndReason.FAILED, 6)
+    scene.report_all(ended=(ended,))
+    scene.commit()
+    assert scene.attempt not in scene.engine.tables.attempts
+    scene.components.delivery.resend_overdue(clock.monotonic_ms() + 2000)
+    assert not scene.stops()
