Check once whether the leader is confirmed, and drop messages of a link that is superseded

What callers saw: nothing by itself. The leader's lease was read twice a message, and a message was lost when it ended between; messages that waited on an entry's link could be handled after its next link had opened, so that a claim on the dead link took the assignment over.

Change: the leader says of each message whether it has handled it, and the link waits if not; a link whose entry has linked again ends. A message that has no link to go to, and one that waits, have a line (message not sent, message waits); 'message not read' and its counter go, as nothing is left unread.

--- a/mulberrywalk/replica/leader.py
+++ b/mulberrywalk/replica/leader.py
@@ -306,16 +306,12 @@
         members = self._engine.node.membership.members
         return wire.MembersChanged(tuple(member.address for member in members))
 
-    def _receive(self, origin: link.Link, received: wire.FromEntry) -> None:
-        if self._engine.is_serving():
-            self._message_handler.receive(origin, received)
-        else:
-            self._metrics.incr('messages_unread')
-            kind = type(received).__name__
-            self._journal.record(
-                'message not read',
-                f'{kind} from {origin.process}: this leader is not confirmed',
-            )
+    def _receive(self, origin: link.Link, received: wire.FromEntry) -> bool:
+        """Handle a message; return False while this replica may not lead."""
+        if not self._engine.is_serving():
+            return False
+        self._message_handler.receive(origin, received)
+        return True
 
     def _lease_length_of(self, session: identity.SessionId) -> int:
         record = self._engine.tables.sessions.get(session)
--- a/mulberrywalk/replica/link.py
+++ b/mulberrywalk/replica/link.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import itertools
 from collections.abc import Callable
 from typing import Any
 
@@ -50,10 +51,13 @@
         replica_engine: engine.Engine,
         logger: journal.Journal,
         meter: cost.Meter,
-        on_message: Callable[[Link, wire.FromEntry], None],
+        on_message: Callable[[Link, wire.FromEntry], bool],
         on_open: Callable[[Link], None],
     ) -> None:
-        """Pass each message to on_message and each new link to on_open."""
+        """Pass each message to on_message and each new link to on_open.
+
+        on_message returns False if it cannot handle the message yet.
+        """
         self.open: dict[str, Link] = {}
         self._engine = replica_engine
         self._journal = logger
@@ -64,7 +68,13 @@
     def send(self, process: str, message: wire.ToEntry) -> None:
         """Queue a message for an entry; drop it when there is no link."""
         link = self.open.get(process)
-        if link is not None:
+        if link is None:
+            kind = type(message).__name__
+            entry = process or 'any entry'
+            self._journal.record(
+                'message not sent', f'{kind}: no link to {entry}'
+            )
+        else:
             link.send(message)
 
     def broadcast(self, message: wire.ToEntry) -> None:
@@ -105,19 +115,26 @@
         while True:
             self._journal.clock.observe(batch.clock)
             for message in batch.messages:
-                await self._wait_until_serving()
-                self._on_message(link, message)
+                await self._pass_on(link, message)
             batch = await stream.receive()
 
-    async def _wait_until_serving(self) -> None:
-        """Wait while this replica cannot confirm that it leads.
+    async def _pass_on(self, link: Link, message: wire.FromEntry) -> None:
+        """Pass a message on once this replica can confirm that it leads.
 
         A message that is not handled would be lost to an entry whose stream
         goes on. If this replica does not lead any more, _write ends the link
         with its next heartbeat, and the entry sends its state to the next
-        leader.
+        leader. Raises ConnectionError if the entry has opened another link.
         """
-        while not self._engine.is_serving():
+        for tries in itertools.count():
+            if self.open.get(link.process) is not link:
+                raise ConnectionError('the entry has linked again')
+            if self._on_message(link, message):
+                return
+            if not tries:
+                kind = type(message).__name__
+                detail = f'{kind} from {link.process} for confirmation'
+                self._journal.record('message waits', detail)
             await anyio.sleep(_POLL_INTERVAL_S)
 
     async def _write(self, stream: EntryStream, link: Link) -> None:
--- a/mulberrywalk/replica/link_test.py
+++ b/mulberrywalk/replica/link_test.py
@@ -63,8 +63,10 @@
         )
 
     def receive(self, origin, message):
-        if self.engine.is_serving():
+        is_serving = self.engine.is_serving()
+        if is_serving:
             self.read.append(message)
+        return is_serving
 
     def lose_confirmation(self, origin):
         self.engine.is_confirmed = False
@@ -97,3 +99,57 @@
     assert any(isinstance(one, wire.Redirect) for one in context.sent) != bool(
         read
     )
+
+
+class EndingLease:
+    """Runs out after some readings once the link is open, and comes back."""
+
+    def __init__(self, engine, readings):
+        self.engine = engine
+        self.readings = readings
+
+    def is_held(self):
+        if self.engine.is_confirmed:
+            return True
+        self.readings -= 1
+        return self.readings >= 0
+
+
+@pytest.mark.parametrize('readings', range(8))
+def test_no_message_is_lost_when_the_lease_ends_in_a_batch(readings):
+    scene = Scene()
+    scene.engine.is_serving = EndingLease(scene.engine, readings).is_held
+    messages = tuple(
+        wire.Report('s1', started=(event.AttemptStart(f'j.0.0.{one}/1', 5),))
+        for one in range(4)
+    )
+
+    async def run():
+        async with anyio.create_task_group() as group:
+            group.start_soon(scene.links.accept, FakeContext(*messages))
+            await anyio.sleep(_UNCONFIRMED_S)
+            scene.engine.is_confirmed = True
+            await anyio.sleep(_UNCONFIRMED_S)
+            scene.is_open = bool(scene.links.open)
+            group.cancel_scope.cancel()
+
+    anyio.run(run)
+    assert scene.read == list(messages) or not scene.is_open
+
+
+def test_message_of_an_earlier_link_is_not_read_after_the_next_one():
+    """It waits, the entry links again, and the leader is confirmed."""
+    scene = Scene()
+    claims = wire.PolledSessions(('s1',))
+
+    async def run():
+        async with anyio.create_task_group() as group:
+            group.start_soon(scene.links.accept, FakeContext(claims))
+            await anyio.sleep(_UNCONFIRMED_S / 2)
+            scene.links.open['e0'] = link.Link('e0', 'dc0')
+            scene.engine.is_confirmed = True
+            await anyio.sleep(_UNCONFIRMED_S)
+            group.cancel_scope.cancel()
+
+    anyio.run(run)
+    assert not scene.read
