--- a/mulberrywalk/core/job.py
+++ b/mulberrywalk/core/job.py
@@ -290,7 +290,8 @@
     larger of the declared and the reported amounts. number counts the attempts
     of the task; members of a gang share it. If the target has restarted since,
     lost_at is the last contact with its earlier incarnation, otherwise zero.
-    stopping_at is when the stop was decided, zero before.
+    stopping_at is when the stop was decided, zero before; snapshots of
+    earlier versions do not have it.
     """
 
     attempt: identity.AttemptId
--- a/mulberrywalk/core/trace_detail.py
+++ b/mulberrywalk/core/trace_detail.py
@@ -37,6 +37,7 @@
         details['started'] = 'unseen' if has_run else 'never'
     if attempt.stopping is not None:
         details['stopping'] = attempt.stopping.value
+    if attempt.stopping_at:
         details['stopping_ms'] = tables.time - attempt.stopping_at
     if attempt.lost_at:
         details['lost_ms'] = tables.time - attempt.lost_at
--- a/mulberrywalk/replica/delivery.py
+++ b/mulberrywalk/replica/delivery.py
@@ -148,7 +148,7 @@
             event_time - attempt.stopping_at
             for attempt in attempts
             if attempt is not None
-            and attempt.stopping is not None
+            and attempt.stopping_at
             and tables.targets[attempt.target].silence is None
         )
         return max(waited_ms, default=0)
--- a/mulberrywalk/replica/delivery_test.py
+++ b/mulberrywalk/replica/delivery_test.py
@@ -1,6 +1,8 @@
 """Starts that can no longer run are not sent again."""
 
-from ..core import cell_test, event, job
+import msgspec
+
+from ..core import cell_test, event, job, state
 from ..transport import wire
 from . import delivery, lease
 
@@ -103,6 +105,17 @@
     assert not scene.delivery.longest_stop_ms(cell.now + 400)
 
 
+def test_stop_of_an_older_snapshot_has_no_age():
+    scene = Scene()
+    tables = scene.engine.tables
+    older = msgspec.structs.replace(
+        scene.engine.attempt, stopping=job.StopReason.CANCELLED
+    )
+    state.replace_attempt(tables, older)
+    scene.delivery.stop(older, 0)
+    assert not scene.delivery.longest_stop_ms(tables.time)
+
+
 def test_start_of_another_session_does_not_expire():
     scene = Scene()
     attempt = scene.engine.attempt
