--- a/mulberrywalk/replica/silence_test.py
+++ b/mulberrywalk/replica/silence_test.py
@@ -3,7 +3,7 @@
 import pytest
 
 from ..core import cell_test, event, target
-from . import lease, silence
+from . import lease, proposal, silence
 
 
 class FakeEngine:
@@ -155,3 +155,39 @@
     engine.cell.now += 60_000
     Scene(engine, now=80_000)
     assert engine.proposed == [2000, 2000]
+
+
+def test_silence_not_recorded_again_does_not_end_a_lease_early(engine):
+    """The clock of a leader between is ahead; it leads for one log entry.
+
+    A log entry takes 256 events, and ends with the time.
+    """
+    cell = engine.cell
+    numbers = range(1, proposal.MAX_BATCH_EVENTS + 1)
+    sessions = [
+        engine.session,
+        *(
+            cell.apply(event.SessionOpened, cell_test.announce(one, f'n{one}'))[
+                0
+            ].outcome.session
+            for one in numbers
+        ),
+    ]
+    for session in sessions:
+        cell.apply(event.SilenceNoted, session, 1500)
+    # The process of the next leader has started while its clock was ahead.
+    cell.now += 60_000
+    cell.apply(event.LeadershipBegun)
+    engine.is_committing = False
+    waiting = []
+    engine.propose = lambda new_event, _: waiting.append(new_event)
+    silence.SilenceDetector(engine, lease.Leases(0)).restore(0)
+    for noted in waiting[: proposal.MAX_BATCH_EVENTS - 1]:
+        cell.apply(event.SilenceNoted, noted.session, noted.quiet_ms)
+    cell.dispatch()
+    # It ends; the next one leads 0.7 s after the silence was recorded.
+    leases = lease.Leases(700)
+    silence.SilenceDetector(engine, leases).restore(700)
+    quiet_ms = {700 - leases.renewed_at(one) for one in sessions}
+    assert max(quiet_ms) <= 1500 + 700, quiet_ms
+    assert not leases.expire(sessions, 700 + target.LEASE_MARGIN_MS)
