Let the delay between repeated stops grow to 0.3 s

Refused connections return at once, so that the delay alone sets how often a stop is tried at a target that has crashed, the usual case; each try opens a connection. A stop whose calls get no reply takes 0.3 s each besides.

--- a/mulberrywalk/entry/pending_stop.py
+++ b/mulberrywalk/entry/pending_stop.py
@@ -21,7 +21,9 @@
 )
 # The first calls follow each other at once.
 _PROMPT_TRIES = 3
-_RETRY_DELAY_S = 0.15
+# Then the delay grows from the first to the last of these.
+_FIRST_DELAY_S = 0.15
+_LAST_DELAY_S = 0.3
 
 
 class PendingStops:
@@ -75,6 +77,8 @@
             if not (is_unsettled and attempt in self._attempts):
                 break
             if tries >= _PROMPT_TRIES:
-                await anyio.sleep(_RETRY_DELAY_S)
+                repeats = tries - _PROMPT_TRIES + 1
+                delay_s = min(repeats * _FIRST_DELAY_S, _LAST_DELAY_S)
+                await anyio.sleep(delay_s)
         self._attempts.discard(attempt)
         return call_result
