Keep a gang's reservation true to the targets that there are

Cause: _remove_target and index_target of core/session.py change the targets and leave the reservation, which gang.review_reservation repairs in the next pass only. Two faults: 1. A target is removed: the record names it until the pass. A target starts again (a new session while the old one is held): its new load isn't reserved, though the record names it, until the gang is tried again. A restored replica reserves it. This one replicas can meet; whether any has isn't known.

--- a/mulberrywalk/core/gang.py
+++ b/mulberrywalk/core/gang.py
@@ -116,6 +116,22 @@
         _cancel_reservation(tables)
 
 
+def find_reserving_job(
+    tables: state.State, name: identity.TargetId
+) -> identity.JobId | None:
+    """Return the gang that a target is reserved for, or None."""
+    reservation = tables.reservation
+    if reservation is None or name not in reservation.targets:
+        return None
+    return reservation.job
+
+
+def cancel_reservation_of(tables: state.State, name: identity.TargetId) -> None:
+    """Cancel the reservation if it names a target, which is to be removed."""
+    if find_reserving_job(tables, name) is not None:
+        _cancel_reservation(tables)
+
+
 def _allocate(
     tables: state.State, tasks: list[job.Task]
 ) -> list[fleet.TargetLoad] | None:
--- a/mulberrywalk/core/session.py
+++ b/mulberrywalk/core/session.py
@@ -13,6 +13,7 @@
     evacuation,
     event,
     fleet,
+    gang,
     health,
     identity,
     job,
@@ -245,7 +246,11 @@
 
 
 def index_target(tables: state.State, record: target.Target) -> None:
-    """Add a target to the index, less the resources its attempts hold."""
+    """Add a target to the index, less the resources its attempts hold.
+
+    A target that starts again stays reserved, as the record of the reservation
+    goes on naming it.
+    """
     old = tables.fleet.loads.get(record.target)
     attempts = old.attempts if old else set()
     free = record.capacity
@@ -261,6 +266,7 @@
             capacity=record.capacity,
             free=free,
             attempts=attempts,
+            reserved_for=gang.find_reserving_job(tables, record.target),
             pool=record.pool,
             labels=frozenset(record.labels),
         )
@@ -393,6 +399,7 @@
 
 
 def _remove_target(tables: state.State, load: fleet.TargetLoad) -> None:
+    gang.cancel_reservation_of(tables, load.target)
     tables.fleet.remove(load.target)
     record = tables.targets.pop(load.target)
     tables.silent.discard(load.target)
--- a/mulberrywalk/core/snapshot.py
+++ b/mulberrywalk/core/snapshot.py
@@ -88,6 +88,7 @@
         sessions={record.session: record for record in records.sessions},
         budgets=records.budgets,
         patches=dict(records.patches),
+        reservation=records.reservation,
         refusals=dict(records.refusals),
         steps={record.step: record for record in records.steps},
         durations=records.durations,
@@ -103,7 +104,6 @@
     for attempt in records.attempts:
         state.add_attempt(tables, attempt)
     _index_tasks(tables)
-    _restore_reservation(tables, records.reservation)
     return tables
 
 
@@ -147,13 +147,3 @@
     for attempt in tables.attempts.values():
         if attempt.lost_at or not attempt.started_at:
             state.mark_absent(tables, tables.tasks[attempt.task])
-
-
-def _restore_reservation(
-    tables: state.State, reservation: state.Reservation | None
-) -> None:
-    tables.reservation = reservation
-    if reservation is None:
-        return
-    for name in reservation.targets:
-        tables.fleet.reserve(tables.fleet.loads[name], reservation.job)
