Answer a cancel once nothing of its job runs any more

A task of a cancelled job ran on over 3.2 s after the cancel was acknowledged, with no disruption near, and ended stopped, with elections near it.

Cause: a cancel was answered when it was recorded. Its stops are the leader's to send; a leader that is lost in between sends none, and no other can before it is elected, has its entries linked and its targets assigned.

So it is a run that the leader knew, and none of the lost-stop faults mended before. Role lines, the two entries and the end are as in the users' record; that theirs is the same isn't proved, as its times are left out.

Change: the leader answers a cancel when the job has ended, that is when the ends of its runs are committed, at the latest after 1.5 s, for targets that don't answer. If it is lost before, the entry repeats the cancel at the next leader, which records nothing anew and answers likewise. A cancel of a job that runs nothing is answered as before.

Why this works: what a caller holds for cancelled has been stopped, so that no loss of a leader afterwards matters. Ruled out: shorter elections, which only shorten the gap; to let entries stop runs by themselves, which decide nothing.

tests/stop_test.py (three lost stops, real processes) failed before and passes.

--- a/mulberrywalk/replica/leader.py
+++ b/mulberrywalk/replica/leader.py
@@ -216,6 +216,7 @@
         self._assignments.rebalance(now)
         self._advice_queue.send_waiting()
         self._delivery.resend_overdue(now)
+        self._requests.answer_overdue_cancels(now)
         self._dispatch_if_due(now)
         if now - self._repaired_at >= _REPAIR_INTERVAL_MS:
             self._repaired_at = now
--- a/mulberrywalk/replica/request.py
+++ b/mulberrywalk/replica/request.py
@@ -11,7 +11,7 @@
 from ..core import event, identity, outcome
 from ..telemetry import clock, metric
 from ..transport import codec, wire
-from . import engine, lease, link, status, view
+from . import cancellation, engine, lease, link, status, view
 
 _MAX_BACKLOG = 4000
 _RETRY_AFTER_MS = 1000
@@ -37,6 +37,7 @@
         self._leases = leases
         self._metrics = metrics
         self._waiters: dict[identity.JobId, list[Waiter]] = {}
+        self._cancels = cancellation.WaitingCancels()
 
     def serve(self, origin: link.Link, call: wire.Call) -> None:
         """Answer a call, at once or when its event is committed."""
@@ -47,6 +48,13 @@
         """Answer the calls that wait for the end of a job."""
         for origin, ticket in self._waiters.pop(job, []):
             self.answer_job(origin, ticket, wire.GetJob(job))
+        for cancel in self._cancels.take_ended(job):
+            self._reply_cancelled(cancel.origin, cancel.ticket, job)
+
+    def answer_overdue_cancels(self, now: int) -> None:
+        """Answer the cancels that wait no longer for the end of their job."""
+        for cancel in self._cancels.take_overdue(now):
+            self._reply_cancelled(cancel.origin, cancel.ticket, cancel.job)
 
     def submit(
         self, origin: link.Link, ticket: int, request: wire.Submit
@@ -73,9 +81,17 @@
     def cancel(
         self, origin: link.Link, ticket: int, request: wire.Cancel
     ) -> None:
-        """Propose the cancellation of a job."""
+        """Propose the cancellation of a job.
+
+        It is answered once nothing of the job runs any more, within a limit.
+        """
         new_event = event.JobCancelled(self._engine.time(), request.job)
-        self._propose(origin, ticket, new_event)
+        self._engine.propose(
+            new_event,
+            lambda event_outcome: self._answer_cancel(
+                origin, ticket, event_outcome
+            ),
+        )
 
     def patch(
         self,
@@ -221,6 +237,32 @@
         )
         self._propose(origin, ticket, new_event)
 
+    def _answer_cancel(
+        self,
+        origin: link.Link,
+        ticket: int,
+        event_outcome: outcome.Outcome | None,
+    ) -> None:
+        if not isinstance(event_outcome, outcome.Cancelled):
+            _reply_outcome(origin, ticket, event_outcome)
+            return
+        job = event_outcome.job
+        record = self._engine.tables.jobs.get(job)
+        if record is not None and record.unfinished:
+            self._cancels.add(job, origin, ticket, clock.monotonic_ms())
+        else:
+            self._reply_cancelled(origin, ticket, job)
+
+    def _reply_cancelled(
+        self, origin: link.Link, ticket: int, job: identity.JobId
+    ) -> None:
+        record = self._engine.tables.jobs.get(job)
+        if record is None:
+            _reply_not_found(origin, ticket, job)
+        else:
+            cancelled = outcome.Cancelled(job, record.state)
+            _reply_outcome(origin, ticket, cancelled)
+
     def _grant(
         self,
         origin: link.Link,
--- a/tests/stop_test.py
+++ b/tests/stop_test.py
@@ -42,3 +42,15 @@
     cluster.wait(lambda: not worker.active_runs(), 'the late run goes on', 15)
     assert time.monotonic() - started_at <= CANCEL_S + STOP_S
     assert [run.outcome for run in worker.runs] == ['stopped', 'stopped']
+
+
+def test_answered_cancel_has_stopped_its_tasks(cluster):
+    """Its first stops are lost; the leader may be lost before the next one."""
+    name = '00000000000000ae'
+    cluster.submit(name, count=1)
+    cluster.wait(cluster.runs, 'no task started')
+    worker = next(one for one in cluster.workers if one.runs)
+    worker.stops_to_ignore = 3
+    assert cluster.call('DELETE', f'/jobs/{name}').status_code == 200
+    assert not worker.active_runs()
+    assert cluster.state(name) == 'cancelled'
