Send no start whose expiry was reported

Cause: an entry proves that a start has expired while a call for it may still wait its turn or its reply. Once the target is assigned anew (the entry links again, or the leader changes), the entry no longer knows until when starts of others run, and a start with a new deadline is allowed. The leader may have taken the proof meanwhile.

Change: a start that was proved to have expired is never sent again by that session. If the leader hasn't taken the proof, its next command brings the proof again, and the stop of an unconfirmed start ends the attempt.

Test: test_start_is_not_sent_again_after_its_expiry_was_reported failed before (a start with a new deadline, 104500).

--- a/mulberrywalk/entry/start_deadline.py
+++ b/mulberrywalk/entry/start_deadline.py
@@ -161,7 +161,13 @@
         return min(waits, default=None)
 
     def _may_send(self, attempt: identity.AttemptId) -> bool:
-        return attempt in self._deadlines and attempt not in self._stopped
+        """Return whether a start is wanted and not proved to have expired.
+
+        The leader may have taken the proof, also if it assigns the target
+        anew since.
+        """
+        is_over = attempt in self._stopped or attempt in self._proved
+        return attempt in self._deadlines and not is_over
 
     def _has_lease(self, now: int) -> bool:
         lease = self._lease
--- a/mulberrywalk/entry/start_deadline_test.py
+++ b/mulberrywalk/entry/start_deadline_test.py
@@ -127,6 +127,19 @@
     assert scene.deadlines.next_deadline(FIRST, 1) is None
 
 
+def test_start_is_not_sent_again_after_its_expiry_was_reported():
+    """The leader may have taken it for ended when it assigns anew."""
+    scene = Scene()
+    scene.send()
+    assert scene.deadlines.take_absent(
+        scene.expired(2 * WINDOW_MS), listing()
+    ) == [FIRST]
+    scene.deadlines.reset_others()
+    assert scene.deadlines.next_deadline(FIRST, 2 * WINDOW_MS) is None
+    scene.deadlines.add_start(FIRST)
+    assert scene.deadlines.next_deadline(FIRST, 2 * WINDOW_MS) is None
+
+
 def test_attempt_that_is_listed_is_not_absent():
     scene = Scene()
     scene.send()
