Ignore the deregistration of an earlier life of a target

Cause: a deregistration ended the session of any life of the target that was leaving, half a second later, without asking whom it came from. One of the life before, held up on its way, does so too. All that a worker says of itself carries `born`.

Change: the body is read, and a deregistration of another life changes nothing. One that doesn't tell its life counts as before.

--- a/mulberrywalk/platform/control_api.py
+++ b/mulberrywalk/platform/control_api.py
@@ -82,8 +82,10 @@
     async def _serve_worker(self, request: http.Request) -> http.Response:
         name, _, action = request.path[len(_INSTANCES_PATH) :].partition('/')
         if action == 'deregister':
-            target = identity.TargetId(name)
-            return _to_response(await self._leader.registry.deregister(target))
+            reply = await self._leader.registry.deregister(
+                identity.TargetId(name), wire.read_birth(request.body)
+            )
+            return _to_response(reply)
         if action != 'heartbeat':
             return http.Response(http.NOT_FOUND)
         try:
--- a/mulberrywalk/platform/wire.py
+++ b/mulberrywalk/platform/wire.py
@@ -133,6 +133,12 @@
     )
 
 
+class Deregistration(msgspec.Struct, frozen=True):
+    """What a worker says when it ends."""
+
+    born: bound.Count = 0
+
+
 class Listing(msgspec.Struct, frozen=True, rename='camel'):
     """The running and the ended attempts of a worker."""
 
@@ -184,6 +190,7 @@
 _configuration_decoder = msgspec.json.Decoder(Configuration)
 _job_decoder = msgspec.json.Decoder(Job)
 _heartbeat_decoder = msgspec.json.Decoder(Heartbeat)
+_deregistration_decoder = msgspec.json.Decoder(Deregistration)
 _listing_decoder = msgspec.json.Decoder(Listing)
 _refusal_decoder = msgspec.json.Decoder(Refusal)
 _advice_decoder = msgspec.json.Decoder(AdviceReply)
@@ -240,6 +247,15 @@
         )
 
 
+def read_birth(body: bytes) -> int:
+    """Return the start of the worker that deregisters, zero if not told."""
+    try:
+        with decoding.translate_errors(WireError):
+            return _deregistration_decoder.decode(body).born
+    except WireError:
+        return 0
+
+
 def _to_target_heartbeat(
     name: str, decoded: Heartbeat, lease_ms: int
 ) -> event.TargetHeartbeat:
--- a/mulberrywalk/platform/wire_test.py
+++ b/mulberrywalk/platform/wire_test.py
@@ -571,3 +571,16 @@
     assert (
         msgspec.msgpack.decode(stored, type=job.Specification) == specification
     )
+
+
+@pytest.mark.parametrize(
+    ('body', 'born'),
+    [
+        (b'{"born":1700000000123,"seq":4}', 1700000000123),
+        (b'{}', 0),
+        (b'', 0),
+        (b'{"born":"odd"}', 0),
+    ],
+)
+def test_deregistration_tells_who_ends_if_it_can(body, born):
+    assert wire.read_birth(body) == born
--- a/mulberrywalk/replica/registry.py
+++ b/mulberrywalk/replica/registry.py
@@ -79,17 +79,21 @@
         return all(needed.pool != pool for needed in specifications)
 
     async def deregister(
-        self, target: identity.TargetId
+        self, target: identity.TargetId, born_at: int = 0
     ) -> outcome.Outcome | None:
         """End the session of a target that was leaving and has now gone.
 
-        Nothing changes for a target that is not leaving: the call may be a
-        delayed one of an earlier incarnation.
+        born_at names the incarnation, zero if the call doesn't tell it.
+        Nothing changes for a target that is not leaving or for another
+        incarnation: the call may be a delayed one of an earlier one.
         """
-        record = self._engine.tables.targets.get(target)
+        tables = self._engine.tables
+        record = tables.targets.get(target)
         if record is None or not record.is_leaving or record.session is None:
             return outcome.Recorded()
         session = record.session
+        if born_at not in {0, tables.sessions[session].born_at}:
+            return outcome.Recorded()
         await anyio.sleep(_DEREGISTER_DELAY_S)
         return await self._engine.propose_and_wait(
             event.SessionExpired(self._engine.time(), session)
--- a/mulberrywalk/replica/registry_test.py
+++ b/mulberrywalk/replica/registry_test.py
@@ -114,6 +114,26 @@
     anyio.run(run)
 
 
+def test_deregistration_of_an_earlier_life_ends_no_session(monkeypatch):
+    """It was held up on its way, and the target leaves again meanwhile."""
+    monkeypatch.setattr(registry, '_DEREGISTER_DELAY_S', 0)
+    replica_engine = FakeEngine()
+    target_registry = registry.Registry(replica_engine)
+
+    async def run():
+        await target_registry.process_heartbeat(heartbeat(1, born_at=100))
+        await target_registry.process_heartbeat(heartbeat(1, born_at=200))
+        await target_registry.process_heartbeat(
+            heartbeat(2, born_at=200, is_leaving=True)
+        )
+        await target_registry.deregister(TARGET, born_at=100)
+        assert TARGET in replica_engine.tables.targets
+        await target_registry.deregister(TARGET, born_at=200)
+        assert TARGET not in replica_engine.tables.targets
+
+    anyio.run(run)
+
+
 def configure(replica_engine, *pools):
     named = tuple(map(configuration.PoolSettings, pools))
     routing = configuration.Routing(1, (), named)
