End the session of a deregistered target once it is no longer heard from

Cause: a deregistration ended the session 0.5 s after it came, and was answered then. A worker ends when it is answered, or some seconds later without an answer (PROTOCOL.md, Service discovery), and works on until then: for as long as the answer takes after the commit, and for seconds if it is lost or the call is repeated.

Change: the call is answered at once. The leader ends the session when its target has not been heard from for 900 ms: the longest poll of a busy target (500 ms) and the time for its answer (400 ms). A new leader doesn't know of it; the lease runs out then. Work that is left on a target that ends at once is placed 0.4 s later than before. A target that can't be reached at all while it works on is still taken for gone.

The test that a session ends only after a departure asks take_gone now, with the bound and that it is told once.

--- a/mulberrywalk/platform/control_api.py
+++ b/mulberrywalk/platform/control_api.py
@@ -12,6 +12,7 @@
 
 from ..core import event, identity, outcome
 from ..replica import program
+from ..telemetry import clock
 from . import bound, http, wire
 
 _ANSWER_TIMEOUT_S = 0.9
@@ -82,10 +83,12 @@
     async def _serve_worker(self, request: http.Request) -> http.Response:
         name, _, action = request.path[len(_INSTANCES_PATH) :].partition('/')
         if action == 'deregister':
-            reply = await self._leader.registry.deregister(
-                identity.TargetId(name), wire.read_birth(request.body)
+            noted = self._leader.registry.deregister(
+                identity.TargetId(name),
+                wire.read_birth(request.body),
+                clock.monotonic_ms(),
             )
-            return _to_response(reply)
+            return _to_response(noted)
         if action != 'heartbeat':
             return http.Response(http.NOT_FOUND)
         try:
--- a/mulberrywalk/replica/leader.py
+++ b/mulberrywalk/replica/leader.py
@@ -205,7 +205,8 @@
         tables = self._engine.tables
         self._leases.add_new(tables.sessions, now)
         expired = self._leases.expire(list(tables.sessions), now)
-        for session in expired:
+        gone = self.registry.take_gone(now, self._leases.renewed_at)
+        for session in (*expired, *gone):
             self._engine.propose(
                 event.SessionExpired(self._engine.time(), session),
                 proposal.ignore_outcome,
--- a/mulberrywalk/replica/registry.py
+++ b/mulberrywalk/replica/registry.py
@@ -6,13 +6,14 @@
 
 from __future__ import annotations
 
-import anyio
+from collections.abc import Callable
 
 from ..core import event, identity, outcome
 from . import engine
 
-# How long after its deregistration a target may still run something.
-_DEREGISTER_DELAY_S = 0.5
+# A target that works is heard from within the longest poll of a busy target
+# and the time for its answer, as long as it can be reached.
+GONE_MS = 900
 
 
 class Registry:
@@ -24,10 +25,16 @@
         # The incarnation and sequence number of the newest heartbeat of each
         # target.
         self._latest: dict[identity.TargetId, tuple[int, int]] = {}
+        # The sessions that were deregistered, and when.
+        self._deregistered: dict[identity.SessionId, int] = {}
 
     def reset(self) -> None:
-        """Forget the heartbeats received during an earlier term."""
+        """Forget what was received during an earlier term.
+
+        The leases of targets that have gone run out then.
+        """
         self._latest.clear()
+        self._deregistered.clear()
 
     async def process_heartbeat(
         self, heartbeat: event.TargetHeartbeat
@@ -78,26 +85,41 @@
         )
         return all(needed.pool != pool for needed in specifications)
 
-    async def deregister(
-        self, target: identity.TargetId, born_at: int = 0
-    ) -> outcome.Outcome | None:
-        """End the session of a target that was leaving and has now gone.
+    def deregister(
+        self, target: identity.TargetId, born_at: int, now: int
+    ) -> outcome.Outcome:
+        """Note that a target that was leaving ends.
 
         born_at names the incarnation, zero if the call doesn't tell it.
         Nothing changes for a target that is not leaving or for another
-        incarnation: the call may be a delayed one of an earlier one.
+        incarnation: the call may be a delayed one of an earlier one. now is
+        a monotonic time in milliseconds.
         """
         tables = self._engine.tables
         record = tables.targets.get(target)
         if record is None or not record.is_leaving or record.session is None:
             return outcome.Recorded()
-        session = record.session
-        if born_at not in {0, tables.sessions[session].born_at}:
-            return outcome.Recorded()
-        await anyio.sleep(_DEREGISTER_DELAY_S)
-        return await self._engine.propose_and_wait(
-            event.SessionExpired(self._engine.time(), session)
-        )
+        if born_at in {0, tables.sessions[record.session].born_at}:
+            self._deregistered.setdefault(record.session, now)
+        return outcome.Recorded()
+
+    def take_gone(
+        self, now: int, heard_at: Callable[[identity.SessionId], int]
+    ) -> list[identity.SessionId]:
+        """Return the deregistered sessions whose targets have ended, once.
+
+        A target ends when its call is answered, or some seconds later if it
+        gets no answer, and works on until then. heard_at returns when the
+        target of a session was last heard from.
+        """
+        gone = [
+            session
+            for session, at in self._deregistered.items()
+            if now - max(at, heard_at(session)) >= GONE_MS
+        ]
+        for session in gone:
+            self._deregistered.pop(session)
+        return gone
 
     def _find_session(
         self, announcement: event.Announcement
--- a/mulberrywalk/replica/registry_test.py
+++ b/mulberrywalk/replica/registry_test.py
@@ -98,40 +98,62 @@
     assert not replica_engine.proposed
 
 
-def test_deregistration_ends_a_session_only_after_a_departure(monkeypatch):
-    monkeypatch.setattr(registry, '_DEREGISTER_DELAY_S', 0)
-    replica_engine = FakeEngine()
-    target_registry = registry.Registry(replica_engine)
-
-    async def run():
-        await target_registry.process_heartbeat(heartbeat(1))
-        await target_registry.deregister(TARGET)
-        assert TARGET in replica_engine.tables.targets
-        await target_registry.process_heartbeat(heartbeat(2, is_leaving=True))
-        await target_registry.deregister(TARGET)
-        assert TARGET not in replica_engine.tables.targets
+class Departed:
+    """A target that has announced its end, and what it is heard from."""
+
+    def __init__(self, born_at=100):
+        self.registry = registry.Registry(FakeEngine())
+        self.heard_at = 0
+        beats = (
+            heartbeat(1, born_at=born_at),
+            heartbeat(2, born_at=born_at, is_leaving=True),
+        )
+        for beat in beats:
+            anyio.run(self.registry.process_heartbeat, beat)
 
-    anyio.run(run)
+    def gone(self, now):
+        return self.registry.take_gone(now, lambda _: self.heard_at)
 
 
-def test_deregistration_of_an_earlier_life_ends_no_session(monkeypatch):
-    """It was held up on its way, and the target leaves again meanwhile."""
-    monkeypatch.setattr(registry, '_DEREGISTER_DELAY_S', 0)
+def test_deregistration_counts_only_after_a_departure():
     replica_engine = FakeEngine()
     target_registry = registry.Registry(replica_engine)
-
-    async def run():
-        await target_registry.process_heartbeat(heartbeat(1, born_at=100))
-        await target_registry.process_heartbeat(heartbeat(1, born_at=200))
-        await target_registry.process_heartbeat(
-            heartbeat(2, born_at=200, is_leaving=True)
-        )
-        await target_registry.deregister(TARGET, born_at=100)
-        assert TARGET in replica_engine.tables.targets
-        await target_registry.deregister(TARGET, born_at=200)
-        assert TARGET not in replica_engine.tables.targets
-
-    anyio.run(run)
+    anyio.run(target_registry.process_heartbeat, heartbeat(1))
+    target_registry.deregister(TARGET, 0, 1000)
+    assert not target_registry.take_gone(10_000, lambda _: 0)
+    anyio.run(target_registry.process_heartbeat, heartbeat(2, is_leaving=True))
+    target_registry.deregister(TARGET, 0, 10_000)
+    gone_at = 10_000 + registry.GONE_MS
+    assert not target_registry.take_gone(gone_at - 1, lambda _: 0)
+    session = replica_engine.tables.targets[TARGET].session
+    assert target_registry.take_gone(gone_at, lambda _: 0) == [session]
+    assert not target_registry.take_gone(gone_at, lambda _: 0)
+
+
+def test_deregistered_target_that_is_heard_from_is_not_gone():
+    """It works on for some seconds if the answer is lost."""
+    scene = Departed()
+    scene.registry.deregister(TARGET, 0, 1000)
+    for now in range(1400, 5000, 500):
+        scene.heard_at = now
+        assert not scene.gone(now + 499)
+    assert scene.gone(scene.heard_at + registry.GONE_MS)
+
+
+def test_repeated_deregistration_does_not_delay_the_end():
+    scene = Departed()
+    for now in (1000, 1500):
+        scene.registry.deregister(TARGET, 0, now)
+    assert scene.gone(1000 + registry.GONE_MS)
+
+
+def test_deregistration_of_an_earlier_life_ends_no_session():
+    """It was held up on its way, and the target leaves again meanwhile."""
+    scene = Departed(born_at=200)
+    scene.registry.deregister(TARGET, 100, 1000)
+    assert not scene.gone(10_000)
+    scene.registry.deregister(TARGET, 200, 10_000)
+    assert scene.gone(20_000)
 
 
 def configure(replica_engine, *pools):
