Measure no silence by the clock of a leader that did not record it

What callers saw: nothing that is shown to be this; a lease may be counted from too early, so that the session of a target that works ends and its tasks run twice.

Cause: a new leader counts the lease of a silent target from the silence in the state and the event time passed since, and records each silence again by its own clock. One log entry holds 256 events. With more silent targets, a leader that is lost between two entries leaves silences noted by one clock and an event time by another; the leader after it takes the difference of the clocks for time passed.

Change: LeadershipBegun is the first event of a term, and a silence counts as having lasted, beyond what was noted, only since the last leader began. For a silence that this leader recorded nothing changes.

Test: test_silence_that_a_leader_left_out_is_not_measured_by_its_clock failed before (lease counted from -3192900 instead of 47100, with an hour between the clocks). By reading; it takes over 256 silent targets, two leaders lost and clocks that differ.

--- a/mulberrywalk/replica/leader.py
+++ b/mulberrywalk/replica/leader.py
@@ -105,11 +105,12 @@
         )
         if is_leading and raft_node.term != self._term:
             self._term = raft_node.term
-            self._reset()
+            # The first event by the clock of this leader.
             self._engine.propose(
                 event.LeadershipBegun(self._engine.time()),
                 proposal.ignore_outcome,
             )
+            self._reset()
         if raft_node.role is not node.Role.LEADER:
             self._absence_monitor.clear()
         self.links.broadcast(self._members_changed())
--- a/mulberrywalk/replica/silence.py
+++ b/mulberrywalk/replica/silence.py
@@ -47,14 +47,16 @@
         """Start the leases of silent targets from the start of their silence.
 
         Each silence is recorded again by the clock of this leader, so that the
-        next leader can continue from it. These are the first events of the
-        term.
+        next leader can continue from it. One that the leader before did not
+        record again was noted by another clock, and has lasted at least since
+        that leader began.
         """
         tables = self._engine.tables
         for record in list(tables.targets.values()):
             if record.silence is None or record.session is None:
                 continue
-            elapsed_ms = max(0, tables.time - record.silence.noted_at)
+            known_at = max(record.silence.noted_at, tables.leader_since)
+            elapsed_ms = max(0, tables.time - known_at)
             certain_ms = elapsed_ms * _CERTAIN_PERCENT // _PERCENT
             quiet_ms = record.silence.quiet_ms + certain_ms
             self._leases.backdate(record.session, now - quiet_ms)
--- a/mulberrywalk/replica/silence_test.py
+++ b/mulberrywalk/replica/silence_test.py
@@ -148,6 +148,16 @@
     assert scene.leases.expire([engine.session], expires_at + 1)
 
 
+def test_silence_that_a_leader_left_out_is_not_measured_by_its_clock(engine):
+    """The leader between, an hour ahead, was lost before it recorded it."""
+    engine.cell.apply(event.SilenceNoted, engine.session, 2000)
+    engine.cell.now += 3_600_000
+    engine.cell.apply(event.LeadershipBegun)
+    engine.cell.dispatch(1000)
+    scene = Scene(engine, now=50_000)
+    assert scene.leases.renewed_at(engine.session) == 50_000 - 2900
+
+
 def test_silence_is_recorded_again_by_each_leader(engine):
     engine.cell.apply(event.SilenceNoted, engine.session, 2000)
     Scene(engine, now=50_000)
