Let fake workers start again, count ends in order and shorten leases

A fake worker can crash and start again under its name and address: its clock, its ends and what it bars start anew, and its connections end, so that no call on them is executed in the next life. Ends are numbered in the order in which they occur; before, the number of an end changed when a run that started earlier ended later, so that its end could be acknowledged before it was listed. A lease is at most maxHoldMs (10 s). A run keeps its own length, and heartbeats use one client per worker.

--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -9,6 +9,8 @@
 import contextlib
 import dataclasses
 import json
+import socket
+import sys
 import threading
 import time
 from collections.abc import Callable
@@ -21,6 +23,7 @@
 _POLL_S = 0.005
 _HEARTBEAT_S = 0.5
 _START_DELAY_S = 2
+_MAX_HOLD_MS = 10_000
 _LATE_START_WINDOW_MS = 1500
 
 
@@ -31,6 +34,7 @@
     task: str
     number: int
     started_at: float
+    run_s: float
     ended_at: float | None = None
     outcome: str = ''
 
@@ -53,6 +57,8 @@
         self.run_s = run_s
         self.born = time.time_ns() // 1_000_000
         self.runs: list[Run] = []
+        # Runs of earlier lives, which ended with their life.
+        self.past_runs: list[Run] = []
         self.barred: dict[str, int] = {}
         self.answers_to_drop = 0
         self.starts_to_delay = 0
@@ -62,7 +68,10 @@
         self.after_start: Callable[[], None] | None = None
         self.polled_at: list[float] = []
         self.rejected: list[tuple[str, str]] = []
+        self._client = httpx.Client(follow_redirects=True, timeout=2)
         self._lock = threading.RLock()
+        self._clock_started_at = float(0)
+        self._ended: list[Run] = []
         self._fencing_token = 0
         self._lease_end_ms = float(0)
         self._acknowledged_cursor = 0
@@ -82,8 +91,25 @@
             'born': self.born,
         }
         url = f'http://{replica_address}/instances/{self.name}/heartbeat'
-        with httpx.Client(follow_redirects=True, timeout=2) as client:
-            return client.post(url, json=heartbeat).status_code
+        return self._client.post(url, json=heartbeat).status_code
+
+    def restart(self) -> None:
+        """Crash and start again, under the same name and address."""
+        with self._lock:
+            self._end_due_runs()
+            now = time.monotonic()
+            for run in self.active_runs():
+                run.end(now, 'crashed')
+            self.past_runs.extend(self.runs)
+            self.runs.clear()
+            self._ended.clear()
+            self.barred.clear()
+            self.born = time.time_ns() // 1_000_000
+            self._clock_started_at = now
+            self._fencing_token = 0
+            self._lease_end_ms = 0
+            self._acknowledged_cursor = 0
+            self._server.end_connections()
 
     def active_runs(self) -> list[Run]:
         """Return the runs that have not ended."""
@@ -108,21 +134,38 @@
         self._server.shutdown()
 
     def _clock_ms(self) -> int:
-        return time.monotonic_ns() // 1_000_000
+        return int((time.monotonic() - self._clock_started_at) * _MS_PER_S)
+
+    def _lease_end(self) -> float:
+        return self._clock_started_at + self._lease_end_ms / _MS_PER_S
+
+    def _extend_lease(self, deadline_ms: int) -> None:
+        latest = self._clock_ms() + _MAX_HOLD_MS
+        self._lease_end_ms = max(self._lease_end_ms, min(deadline_ms, latest))
 
     def _end_due_runs(self) -> None:
         """End the runs whose time is over or whose lease has expired."""
         now = time.monotonic()
+        lease_end = self._lease_end()
         for run in self.runs:
             if run.ended_at is not None:
                 continue
-            done_at = run.started_at + self.run_s
-            if self._lease_end_ms / _MS_PER_S < min(now, done_at):
-                run.end(self._lease_end_ms / _MS_PER_S, 'lapsed')
+            done_at = run.started_at + run.run_s
+            if lease_end < min(now, done_at):
+                self._end_run(run, lease_end, 'lapsed')
             elif done_at <= now:
-                run.end(done_at, 'done')
+                self._end_run(run, done_at, 'done')
+
+    def _end_run(self, run: Run, at: float, outcome: str) -> None:
+        """End a run; ends are numbered in the order in which they occur."""
+        run.end(at, outcome)
+        self._ended.append(run)
 
     def _handle_call(self, path: str, body: dict[str, Any]) -> tuple[int, Any]:
+        """Handle a call as it arrives."""
+        return self._execute(path, body)
+
+    def _execute(self, path: str, body: dict[str, Any]) -> tuple[int, Any]:
         with self._lock:
             self._end_due_runs()
             if body['fencingToken'] < self._fencing_token:
@@ -136,15 +179,14 @@
 
     def _handle_poll(self, body: dict[str, Any]) -> tuple[int, Any]:
         self.polled_at.append(time.monotonic())
-        self._lease_end_ms = max(self._lease_end_ms, body.get('deadlineMs', 0))
+        self._extend_lease(body.get('deadlineMs', 0))
         self._acknowledged_cursor = max(
             self._acknowledged_cursor, body['ackCursor']
         )
         return 200, self._list_runs()
 
     def _list_runs(self) -> dict[str, Any]:
-        ended = [run for run in self.runs if run.ended_at is not None]
-        numbered = list(enumerate(ended, start=1))
+        numbered = list(enumerate(self._ended, start=1))
         return {
             'clockMs': self._clock_ms(),
             'born': self.born,
@@ -194,9 +236,10 @@
             return self._reject(task, 'late')
         if body.get('ticket') != f'ticket of {self.name}':
             return self._reject(task, 'ticket')
-        self._lease_end_ms = max(self._lease_end_ms, body['deadlineMs'])
+        self._extend_lease(body['deadlineMs'])
         self.barred[task] = number
-        self.runs.append(Run(task, number, time.monotonic()))
+        run_s = self._read_run_s(body)
+        self.runs.append(Run(task, number, time.monotonic(), run_s))
         return self._accept()
 
     def _handle_stop(self, body: dict[str, Any]) -> tuple[int, Any]:
@@ -207,9 +250,13 @@
         self.barred[task] = max(number, self.barred.get(task, 0))
         for run in self.active_runs():
             if run.task == task and run.number <= number:
-                run.end(time.monotonic(), 'stopped')
+                self._end_run(run, time.monotonic(), 'stopped')
         return self._accept()
 
+    def _read_run_s(self, body: dict[str, Any]) -> float:
+        """Return for how long the task of a start runs."""
+        return self.run_s
+
     def _accept(self) -> tuple[int, Any]:
         if self.answers_to_drop:
             self.answers_to_drop -= 1
@@ -275,6 +322,22 @@
     """An HTTP server with the function that handles its calls."""
 
     handle_call: Callable[[str, dict[str, Any]], tuple[int, Any]]
+    # Connections reach one life of the process behind them.
+    life: int
+    connections: list[socket.socket]
+
+    def handle_error(self, request: object, client_address: object) -> None:
+        """Report an error of the fake; entries may reset connections."""
+        if not isinstance(sys.exception(), ConnectionResetError):
+            super().handle_error(request, client_address)
+
+    def end_connections(self) -> None:
+        """End all connections, and let no call on them be handled later."""
+        self.life += 1
+        for connection in self.connections:
+            with contextlib.suppress(OSError):
+                connection.shutdown(socket.SHUT_RDWR)
+        self.connections.clear()
 
 
 class _RequestHandler(http_server.BaseHTTPRequestHandler):
@@ -283,13 +346,19 @@
     protocol_version = 'HTTP/1.1'
     server: _Server
 
+    def setup(self) -> None:
+        """Note which life of the process the connection reaches."""
+        super().setup()
+        self._life = self.server.life
+        self.server.connections.append(self.connection)
+
     def do_POST(self) -> None:
         """Answer one call, or close the connection if the status is 0."""
         length = int(self.headers['content-length'])
         body = json.loads(self.rfile.read(length))
-        status, response = self.server.handle_call(self.path, body)
+        status, response = self._handle_in_life(body)
         self._wait_for_end(body, response)
-        if not status:
+        if not status or self._life != self.server.life:
             self.close_connection = True
             return
         is_bytes = isinstance(response, bytes)
@@ -311,14 +380,19 @@
         deadline = time.monotonic() + body.get('waitMs', 0) / _MS_PER_S
         while time.monotonic() < deadline and not response.get('finished'):
             time.sleep(_POLL_S)
-            response.update(self.server.handle_call(self.path, body)[1])
+            response.update(self._handle_in_life(body)[1])
+
+    def _handle_in_life(self, body: dict[str, Any]) -> tuple[int, Any]:
+        if self._life != self.server.life:
+            return 0, {}
+        return self.server.handle_call(self.path, body)
 
 
-def _start_server(
-    host: str, handle_call: Any
-) -> http_server.ThreadingHTTPServer:
+def _start_server(host: str, handle_call: Any) -> _Server:
     server = _Server((host, 0), _RequestHandler)
     server.handle_call = handle_call
+    server.life = 0
+    server.connections = []
     server.daemon_threads = True
     threading.Thread(target=server.serve_forever, daemon=True).start()
     return server
--- a/tests/platform_test.py
+++ b/tests/platform_test.py
@@ -35,6 +35,8 @@
 class PlatformCluster:
     """Replicas, entries, workers and an adviser on loopback addresses."""
 
+    worker_type = platform_fakes.FakeWorker
+
     def __init__(self, folder: pathlib.Path, run_s: float) -> None:
         """Start all processes and apply a configuration."""
         high, low = divmod(secrets.randbelow(SUBNETS), 250)
@@ -47,7 +49,7 @@
         self.folder = folder
         self.adviser = platform_fakes.FakeAdviser(self.hosts[0])
         self.workers = [
-            platform_fakes.FakeWorker(f'w{number}', self.hosts[0], run_s)
+            self.worker_type(f'w{number}', self.hosts[0], run_s)
             for number in range(2)
         ]
         self.replica_addresses = [
@@ -87,9 +89,7 @@
         """Add a worker that sends heartbeats like the others."""
         number = len(self.workers)
         self.workers.append(
-            platform_fakes.FakeWorker(
-                f'w{number}', self.hosts[0], self.workers[0].run_s
-            )
+            self.worker_type(f'w{number}', self.hosts[0], self.workers[0].run_s)
         )
 
     def configure(self, version, prefix='/jobs/'):
