End the processes of a test cluster that doesn't become ready

Seen: after two tests that failed with 'the cluster was not ready' and 'the configuration was not accepted', load 81 to 109, three replicas and two entries of each were still running minutes later.

Cause: PlatformCluster starts them in its constructor; when that raises, the fixture has nothing to close. What is left loads the machine of all later tests.

Change: the constructor closes the cluster if it raises. The new test fails without that (five processes left) and passes with it; no bound changes.

--- a/tests/platform_test.py
+++ b/tests/platform_test.py
@@ -60,8 +60,12 @@
         self.heartbeats = platform_fakes.HeartbeatSender(
             self.workers, self.replica_addresses
         )
-        self.configure(1)
-        self.wait(self._is_ready, 'the cluster was not ready')
+        with contextlib.ExitStack() as stack:
+            # No test closes a cluster that it wasn't given.
+            stack.callback(self.close)
+            self.configure(1)
+            self.wait(self._is_ready, 'the cluster was not ready')
+            stack.pop_all()
 
     def close(self) -> None:
         """Stop all processes and fakes."""
@@ -305,6 +309,23 @@
     started.close()
 
 
+def test_unready_cluster_leaves_no_process(tmp_path, monkeypatch):
+    started = []
+
+    def refuse(self, version):
+        started.extend(self.processes)
+        raise AssertionError('the configuration was not accepted')
+
+    monkeypatch.setattr(PlatformCluster, 'configure', refuse)
+    with pytest.raises(AssertionError, match='not accepted'):
+        PlatformCluster(tmp_path, run_s=0.3)
+    assert len(started) == REPLICAS + ENTRIES
+    running = [one for one in started if one.running.poll() is None]
+    for one in running:
+        one.kill()
+    assert not running
+
+
 def test_job_runs_and_every_entry_reports_it(cluster):
     name = '0123456789abcdef'
     cluster.submit(name)
