Take idle connections out of the pool before they are closed

An entry ended its session of a healthy target by a KeyError ('session failed'), and with it all calls there; the leader went on sending stops to that entry, which dropped them, until the target had been silent for 2.5 s and was assigned to another entry.

Cause: the pool lists the connections that were idle for over 20 s and then awaits the close of each. Concurrent calls that open connections list the same ones meanwhile. One that finds a connection gone from its list raises ValueError, which is taken for no reply though the call was never sent; one that finds the list gone raises KeyError, which ends the session. (The adviser's calls use the same pool: there, by reading, the KeyError would end the entry.) It needs connections that were idle for 20 s and two calls at once, so it comes with age, not with trouble.

Change: the connections are taken out of the pool at once, and closed then, also when the call that does so runs out of time. The four new cases fail before.

--- a/mulberrywalk/platform/http_client.py
+++ b/mulberrywalk/platform/http_client.py
@@ -235,21 +235,29 @@
 
     async def _close_unused(self) -> None:
         """Close the connections to all addresses that were idle for long."""
+        unused = self._remove_unused()
+        with anyio.CancelScope(shield=True):
+            for connection in unused:
+                await connection.close()
+
+    def _remove_unused(self) -> list[Connection]:
+        """Remove and return the connections that were idle for long.
+
+        Nothing else runs meanwhile: another call may take any connection that
+        is left. Lists are changed in place, as a call may hold one.
+        """
         used_since = time.monotonic() - _MAX_IDLE_S
-        unused = [
-            connection
-            for connections in self._idle.values()
-            for connection in connections
-            if connection.used_at < used_since
-        ]
-        for connection in unused:
-            self._idle[connection.address].remove(connection)
-            await connection.close()
-        self._idle = {
-            address: connections
-            for address, connections in self._idle.items()
-            if connections
-        }
+        unused: list[Connection] = []
+        for address, connections in list(self._idle.items()):
+            out_of_use = [
+                one for one in connections if one.used_at < used_since
+            ]
+            for connection in out_of_use:
+                connections.remove(connection)
+            if not connections:
+                self._idle.pop(address)
+            unused.extend(out_of_use)
+        return unused
 
 
 async def _connect(address: str) -> SocketStream:
--- a/mulberrywalk/platform/http_client_test.py
+++ b/mulberrywalk/platform/http_client_test.py
@@ -165,3 +165,36 @@
 
     anyio.run(call_both)
     assert connections.count_idle() == 1
+
+
+@pytest.mark.parametrize(('idle', 'at_once'), [(1, 3), (3, 2), (3, 3), (6, 6)])
+def test_concurrent_calls_close_connections_out_of_use(
+    start_server, monkeypatch, idle, at_once
+):
+    """Each of the calls finds the same connections and opens its own."""
+    before = [
+        start_server(reply_with('1'), reply_with('2')) for _ in range(idle)
+    ]
+    after = [start_server(reply_with('3')) for _ in range(at_once)]
+    connections = http_client.ConnectionPool()
+    replies = []
+
+    async def call(server):
+        reply = await connections.call(server.address, REQUEST, TIMEOUT_S)
+        replies.append(reply and reply.body)
+
+    async def call_all(servers):
+        async with anyio.create_task_group() as group:
+            for server in servers:
+                group.start_soon(call, server)
+
+    async def run():
+        # Two connections to each address.
+        await call_all([*before, *before])
+        clock = time.monotonic
+        monkeypatch.setattr(http_client.time, 'monotonic', lambda: clock() + 60)
+        await call_all(after)
+
+    anyio.run(run)
+    assert replies[2 * idle :] == [b'3' for _ in after]
+    assert connections.count_idle() == at_once
