Follow a session that fails by another one at once

A session that fails by an unexpected error ended all calls to its target, and the leader, which isn't told, went on sending stops there until the target had been silent for 2.5 s: 2.3 to 2.8 s of the 3.2 s that a stop may take, as the pool's KeyError showed. The entry now starts the session anew under the same assignment, and leaves it to the leader only if it fails again within 10 s. The new test fails before ('session failed', no stop).

--- a/mulberrywalk/entry/lost_stop_test.py
+++ b/mulberrywalk/entry/lost_stop_test.py
@@ -92,3 +92,27 @@
 
     polled_test.run_session(target, scenario)
     assert len(target.stops) <= 4
+
+
+def test_session_that_fails_once_is_followed_by_another_one():
+    """Stops sent to the entry meanwhile would be dropped."""
+    target = polled_test.FakeTarget()
+    poll = target.poll
+    failures = [KeyError()]
+
+    async def fail_once(destination, request):
+        if failures:
+            raise failures.pop()
+        return await poll(destination, request)
+
+    async def scenario(targets, leader, sessions):
+        target.poll = fail_once
+        targets.assign(polled_test.assignment())
+        with anyio.fail_after(5):
+            while not target.poll_requests:
+                await anyio.sleep(0.01)
+        stop(sessions.open[polled_test.SESSION])
+        await anyio.sleep(0.1)
+
+    polled_test.run_targets(target, scenario)
+    assert target.stops == [polled_test.FIRST]
--- a/mulberrywalk/entry/polled_targets.py
+++ b/mulberrywalk/entry/polled_targets.py
@@ -3,12 +3,17 @@
 from __future__ import annotations
 
 import anyio
+import msgspec
 from anyio.abc import TaskGroup
 
-from ..telemetry import journal
+from ..core import identity
+from ..telemetry import clock, journal
 from ..transport import wire
 from . import polled, session, target_client, upstream
 
+# A session that fails again within this time is left to the leader.
+_FAILURE_INTERVAL_MS = 10_000
+
 
 class PolledTargets:
     """The polled targets that the leader has assigned to this entry."""
@@ -26,6 +31,8 @@
         self._sessions = sessions
         self._event_log = event_log
         self._group: TaskGroup | None = None
+        # When a session last failed.
+        self._failed_at: dict[identity.SessionId, int] = {}
         leader.on_assignment = self.assign
 
     async def run(self) -> None:
@@ -55,7 +62,8 @@
     async def _run_session(self, polled_session: polled.PolledSession) -> None:
         """Run a session; a failure ends only this session.
 
-        The leader reassigns the target once the session stops responding.
+        It is followed by another one. If that fails soon, the leader assigns
+        the target to another entry once it is not polled any more.
         """
         try:
             await polled_session.run()
@@ -66,7 +74,20 @@
                 f'{type(cause).__name__}: {cause}',
                 target=polled_session.assigned.target,
             )
+            assigned = polled_session.assigned
+            current = self._sessions.open.get(assigned.session)
             polled_session.end()
+            if current is polled_session:
+                self._follow(assigned)
+
+    def _follow(self, failed: wire.Assignment) -> None:
+        """Start a session after one that failed, unless it did so again."""
+        now = clock.monotonic_ms()
+        failed_at = self._failed_at.get(failed.session)
+        self._failed_at[failed.session] = now
+        if failed_at is None or now - failed_at > _FAILURE_INTERVAL_MS:
+            # Starts that the failed session has sent may still arrive.
+            self.assign(msgspec.structs.replace(failed, is_first=False))
 
 
 def _find_cause(error: BaseException) -> BaseException:
