Let the fake workers queue more connections

Their listeners held five new connections; more are dropped, and tried again after a second or more, longer than an entry waits for a call.

--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -322,6 +322,8 @@
     """An HTTP server with the function that handles its calls."""
 
     handle_call: Callable[[str, dict[str, Any]], tuple[int, Any]]
+    # New connections that wait; more are dropped and tried again after 1 s.
+    request_queue_size = 128
     # Connections reach one life of the process behind them.
     life: int
     connections: list[socket.socket]
