Revert "Load a replica's HTTP server once it takes part in elections"

A replica whose server loads after it leads can't take what targets and operators send, by reading; not traced further.

--- a/mulberrywalk/platform/replica.py
+++ b/mulberrywalk/platform/replica.py
@@ -2,22 +2,29 @@
 
 from __future__ import annotations
 
-import importlib
+import contextlib
 import os
 import pathlib
 import signal
+from collections.abc import Awaitable, Callable
+from typing import Any
 
 import anyio
-from anyio.to_thread import run_sync
+from hypercorn import asyncio as hypercorn_server
+from hypercorn import config as hypercorn_config
 
 from ..consensus import message
 from ..replica import leader, program
 from ..storage import disk as storage
 from ..telemetry import journal, retry
-from . import setting
+from . import control_api, http, setting
 
 _REPAIR_AFTER_MS = 3000
 _SNAPSHOT_ENTRIES = 1500
+# The lease as a fraction of maxHoldMs. It is long enough for all replicas to
+# fail at once and restart, and short enough that the tasks of a lost worker are
+# soon run again.
+_LEASE_FRACTION = 0.55
 _LOG_FORMAT_VARIABLE = 'MULBERRYWALK_LOG_FORMAT'
 
 
@@ -29,15 +36,54 @@
         self._settings = settings
 
     async def run(self, components: program.ReplicaComponents) -> None:
-        """Serve the control interface and the metrics until cancelled.
-
-        The server is loaded in a thread while the replica takes part in
-        elections: the cell doesn't wait for it.
-        """
-        server = await run_sync(
-            importlib.import_module, '.control_server', __package__
+        """Serve the control interface and the metrics until cancelled."""
+        address = self._settings.bind_addrs.control
+        lease_ms = int(self._settings.bounds.max_hold_ms * _LEASE_FRACTION)
+        api = control_api.ControlApi(components, address, lease_ms)
+
+        async def serve(
+            scope: dict[str, Any], receive: http.Receive, send: http.Send
+        ) -> None:
+            if scope['type'] == 'lifespan':
+                await http.handle_lifespan(receive, send)
+            elif scope['server'][1] == http.METRICS_PORT:
+                await http.write_text(send, components.metrics.render())
+            elif scope['type'] == 'http':
+                await api.serve(scope, receive, send)
+
+        config = hypercorn_config.Config()
+        config.bind = [address, self._settings.metrics_address()]
+        config.accesslog = None
+        config.errorlog = None
+        config.graceful_timeout = 0.2
+        stop = anyio.Event()
+
+        async def serve_until_stopped() -> None:
+            if not stop.is_set():
+                await hypercorn_server.serve(
+                    serve,  # type: ignore[arg-type]
+                    config,
+                    shutdown_trigger=stop.wait,
+                )
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(
+                _run_shielded, components.logger, serve_until_stopped
+            )
+            with contextlib.ExitStack() as stack:
+                stack.callback(stop.set)
+                await anyio.sleep_forever()
+
+
+async def _run_shielded(
+    event_log: journal.Journal,
+    serve_until_stopped: Callable[[], Awaitable[None]],
+) -> None:
+    """Serve until the trigger is set; a cancelled server raises an error."""
+    with anyio.CancelScope(shield=True):
+        await retry.until_done(
+            event_log, 'control interface', serve_until_stopped
         )
-        await server.run(self._settings, components)
 
 
 def bootstrap_cell(settings: setting.Settings, folder: pathlib.Path) -> None:
--- a/mulberrywalk/platform/startup_test.py
+++ b/mulberrywalk/platform/startup_test.py
@@ -26,9 +26,3 @@
     loaded = list_modules('mulberrywalk.platform.entry')
     unused = ('mulberrywalk.replica', 'mulberrywalk.consensus.node')
     assert not loaded.intersection(unused)
-
-
-def test_replica_takes_part_in_elections_before_it_loads_its_http_server():
-    loaded = list_modules('mulberrywalk.platform.replica')
-    assert 'mulberrywalk.consensus.node' in loaded
-    assert not loaded.intersection(('hypercorn', 'wsproto', 'h2'))
