Take no silence of a leaving target for its end

Cause: Registry.take_gone ended the session of a deregistered target 900 ms after it was last heard from. A target works on until its call is answered, or some seconds without an answer, and a cut makes it as silent as its end does.

Ruled out: the lease (4 s to go, honoured), late starts (all were ordered after the end of the session), the heartbeats (none comes after a deregistration).

A deregistration has the attempts stopped and is answered once the target runs nothing; that ends the session. What a leaving target still runs is stopped once stopMs and 0.3 s are left of the time that it has told, as a target that has ended lists nothing. Weighed: a closed or refused connection as the proof (resets, cuts that reset or refuse and proxies look the same); the lease alone (work of targets that end in order would wait for 5.5 s).

The tests of take_gone asked that 900 ms of silence are an end, which is the fault; in their place: a silent target keeps its work, a deregistration is answered once its target runs nothing, at once if it is idle, ends the session once though repeated, counts only after a departure and only from that life.

--- a/mulberrywalk/core/event.py
+++ b/mulberrywalk/core/event.py
@@ -55,13 +55,15 @@
     """One announcement of a target.
 
     sequence numbers the heartbeats of one incarnation of the target;
-    remaining_ms is the minimum time that a leaving target stays.
+    remaining_ms is the minimum time that a leaving target stays, and stop_ms
+    the longest time that it takes to stop an attempt.
     """
 
     announcement: Announcement
     sequence: int
     is_leaving: bool
     remaining_ms: int | None = None
+    stop_ms: int = 0
 
 
 class SessionOpened(msgspec.Struct, frozen=True, tag=True):
@@ -72,7 +74,10 @@
 
 
 class SessionExpired(msgspec.Struct, frozen=True, tag=True):
-    """A session's lease has expired, so its target has stopped all work."""
+    """The target of a session runs none of its attempts any more.
+
+    Its lease has expired, or it leaves and has listed the ends of all of them.
+    """
 
     at: int
     session: identity.SessionId
--- a/mulberrywalk/platform/control_api.py
+++ b/mulberrywalk/platform/control_api.py
@@ -12,7 +12,6 @@
 
 from ..core import event, identity, outcome
 from ..replica import program
-from ..telemetry import clock
 from . import bound, http, wire
 
 _ANSWER_TIMEOUT_S = 0.9
@@ -24,18 +23,20 @@
     """The ASGI application for workers and operators."""
 
     def __init__(
-        self, components: program.ReplicaComponents, address: str, lease_ms: int
+        self,
+        components: program.ReplicaComponents,
+        address: str,
+        worker_times: wire.WorkerTimes,
     ) -> None:
         """Set up the state.
 
-        address is the host:port that workers and operators call. lease_ms is
-        the lease of a worker's session.
+        address is the host:port that workers and operators call.
         """
         self._engine = components.engine
         self._leader = components.leader
         self._event_log = components.logger
         self._address = address
-        self._lease_ms = lease_ms
+        self._worker_times = worker_times
 
     async def serve(
         self, scope: dict[str, Any], receive: http.Receive, send: http.Send
@@ -82,19 +83,20 @@
 
     async def _serve_worker(self, request: http.Request) -> http.Response:
         name, _, action = request.path[len(_INSTANCES_PATH) :].partition('/')
+        short_name = name[: bound.MAX_TEXT_LENGTH]
         if action == 'deregister':
-            noted = self._leader.registry.deregister(
-                identity.TargetId(name),
-                wire.read_birth(request.body),
-                clock.monotonic_ms(),
+            self._event_log.record('deregistration received', target=short_name)
+            ended = await self._leader.registry.deregister(
+                identity.TargetId(name), wire.read_birth(request.body)
             )
-            return _to_response(noted)
+            return _to_response(ended)
         if action != 'heartbeat':
             return http.Response(http.NOT_FOUND)
         try:
-            heartbeat = wire.read_heartbeat(name, request.body, self._lease_ms)
+            heartbeat = wire.read_heartbeat(
+                name, request.body, self._worker_times
+            )
         except wire.WireError as error:
-            short_name = name[: bound.MAX_TEXT_LENGTH]
             self._event_log.warn(
                 'heartbeat refused', f'from {short_name}: {error}'
             )
--- a/mulberrywalk/platform/replica.py
+++ b/mulberrywalk/platform/replica.py
@@ -17,7 +17,7 @@
 from ..replica import leader, program
 from ..storage import disk as storage
 from ..telemetry import journal, retry
-from . import control_api, http, setting
+from . import control_api, http, setting, wire
 
 _REPAIR_AFTER_MS = 3000
 _SNAPSHOT_ENTRIES = 1500
@@ -38,8 +38,12 @@
     async def run(self, components: program.ReplicaComponents) -> None:
         """Serve the control interface and the metrics until cancelled."""
         address = self._settings.bind_addrs.control
-        lease_ms = int(self._settings.bounds.max_hold_ms * _LEASE_FRACTION)
-        api = control_api.ControlApi(components, address, lease_ms)
+        bounds = self._settings.bounds
+        times = wire.WorkerTimes(
+            lease_ms=int(bounds.max_hold_ms * _LEASE_FRACTION),
+            stop_ms=bounds.stop_ms,
+        )
+        api = control_api.ControlApi(components, address, times)
 
         async def serve(
             scope: dict[str, Any], receive: http.Receive, send: http.Send
--- a/mulberrywalk/platform/setting.py
+++ b/mulberrywalk/platform/setting.py
@@ -39,6 +39,7 @@
     contact_ms: int = 3000
     grace_s: float = 6
     drain_ms: int = 2000
+    stop_ms: int = 200
 
 
 class Settings(msgspec.Struct, frozen=True, rename='camel'):
--- a/mulberrywalk/platform/wire.py
+++ b/mulberrywalk/platform/wire.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import hashlib
 from types import MappingProxyType
 
@@ -133,6 +134,14 @@
     )
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class WorkerTimes:
+    """The lease of a worker, and the longest time that a stop takes there."""
+
+    lease_ms: int
+    stop_ms: int
+
+
 class Deregistration(msgspec.Struct, frozen=True):
     """What a worker says when it ends."""
 
@@ -238,12 +247,12 @@
 
 
 def read_heartbeat(
-    name: str, body: bytes, lease_ms: int
+    name: str, body: bytes, times: WorkerTimes
 ) -> event.TargetHeartbeat:
     """Decode the heartbeat of a worker; raises WireError."""
     with decoding.translate_errors(WireError):
         return _to_target_heartbeat(
-            name, _heartbeat_decoder.decode(body), lease_ms
+            name, _heartbeat_decoder.decode(body), times
         )
 
 
@@ -257,7 +266,7 @@
 
 
 def _to_target_heartbeat(
-    name: str, decoded: Heartbeat, lease_ms: int
+    name: str, decoded: Heartbeat, times: WorkerTimes
 ) -> event.TargetHeartbeat:
     if decoded.state not in {_READY, _DRAINING}:
         raise WireError('the state is not known')
@@ -281,13 +290,14 @@
         labels=decoded.labels,
         address=decoded.address,
         born_at=decoded.born,
-        lease_ms=lease_ms,
+        lease_ms=times.lease_ms,
     )
     return event.TargetHeartbeat(
         announcement,
         decoded.seq,
         is_leaving=decoded.state == _DRAINING,
         remaining_ms=_to_remaining_ms(decoded.remaining_ms),
+        stop_ms=times.stop_ms,
     )
 
 
--- a/mulberrywalk/platform/wire_test.py
+++ b/mulberrywalk/platform/wire_test.py
@@ -43,6 +43,8 @@
         'limits': {'maxBodyBytes': 262144},
     }
 )
+TIMES = wire.WorkerTimes(lease_ms=8000, stop_ms=200)
+
 HEARTBEAT = MappingProxyType(
     {
         'service': 's-1',
@@ -167,7 +169,7 @@
 
 
 def test_heartbeat_announces_a_target():
-    heartbeat = wire.read_heartbeat('i-1', encode_json(HEARTBEAT), 8000)
+    heartbeat = wire.read_heartbeat('i-1', encode_json(HEARTBEAT), TIMES)
     target_announcement = heartbeat.announcement
     assert target_announcement.target == 'i-1'
     assert (target_announcement.rack, target_announcement.pool) == (
@@ -188,7 +190,7 @@
 def test_heartbeat_without_required_field_is_refused(field):
     fields = {name: text for name, text in HEARTBEAT.items() if name != field}
     with pytest.raises(wire.WireError):
-        wire.read_heartbeat('i-1', encode_json(fields), 8000)
+        wire.read_heartbeat('i-1', encode_json(fields), TIMES)
 
 
 @pytest.mark.parametrize(
@@ -196,7 +198,7 @@
 )
 def test_heartbeat_with_invalid_field_is_refused(changes):
     with pytest.raises(wire.WireError):
-        wire.read_heartbeat('i-1', encode_json({**HEARTBEAT, **changes}), 8000)
+        wire.read_heartbeat('i-1', encode_json({**HEARTBEAT, **changes}), TIMES)
 
 
 def test_listing_is_decoded_with_all_end_reasons():
@@ -284,7 +286,7 @@
 @pytest.mark.parametrize(
     ('read', 'fields'),
     [
-        (lambda body: wire.read_heartbeat('i-1', body, 1), HEARTBEAT),
+        (lambda body: wire.read_heartbeat('i-1', body, TIMES), HEARTBEAT),
         (wire.read_listing, LISTING),
         (wire.read_routing, CONFIGURATION),
         (lambda body: wire.read_job(body, '0' * 16, read_queue()), JOB),
@@ -312,12 +314,12 @@
     if field not in HEARTBEAT:
         changes = {'capacity': {**HEARTBEAT['capacity'], field: number}}
     with pytest.raises(wire.WireError):
-        wire.read_heartbeat('i-1', encode_json({**HEARTBEAT, **changes}), 8000)
+        wire.read_heartbeat('i-1', encode_json({**HEARTBEAT, **changes}), TIMES)
 
 
 def test_remaining_time_is_clamped_at_zero_and_limited():
     fields = {**HEARTBEAT, 'state': 'draining', 'remainingMs': -3.5}
-    heartbeat = wire.read_heartbeat('i-1', encode_json(fields), 8000)
+    heartbeat = wire.read_heartbeat('i-1', encode_json(fields), TIMES)
     assert heartbeat.remaining_ms == 0
     with pytest.raises(wire.WireError):
         wire.read_heartbeat(
@@ -328,7 +330,7 @@
 def test_heartbeat_with_birth_time_zero_is_refused():
     # Zero marks the session of a target that connects to the entry itself.
     with pytest.raises(wire.WireError):
-        wire.read_heartbeat('i-1', encode_json({**HEARTBEAT, 'born': 0}), 8000)
+        wire.read_heartbeat('i-1', encode_json({**HEARTBEAT, 'born': 0}), TIMES)
 
 
 @pytest.mark.parametrize(
@@ -362,7 +364,7 @@
 @pytest.mark.parametrize('name', ['', '\xe9', 'a b', 'a\n', '\x00', 'x' * 300])
 def test_heartbeat_with_id_invalid_in_header_is_refused(name):
     with pytest.raises(wire.WireError):
-        wire.read_heartbeat(name, encode_json(HEARTBEAT), 8000)
+        wire.read_heartbeat(name, encode_json(HEARTBEAT), TIMES)
 
 
 JSON_VALUES = st.recursive(
@@ -383,7 +385,7 @@
 def test_accepted_heartbeat_survives_encoding(field, field_value):
     body = encode_json({**HEARTBEAT, field: field_value})
     try:
-        heartbeat = wire.read_heartbeat('i-1', body, 8000)
+        heartbeat = wire.read_heartbeat('i-1', body, TIMES)
     except wire.WireError:
         return
     session_opened = event.SessionOpened(1, heartbeat.announcement)
--- a/mulberrywalk/replica/leader.py
+++ b/mulberrywalk/replica/leader.py
@@ -206,13 +206,13 @@
     def _run_round(self, now: int) -> None:
         tables = self._engine.tables
         self._leases.add_new(tables.sessions, now)
-        expired = self._leases.expire(list(tables.sessions), now)
-        gone = self.registry.take_gone(now, self._leases.renewed_at)
-        for session in (*expired, *gone):
+        for session in self._leases.expire(list(tables.sessions), now):
             self._engine.propose(
                 event.SessionExpired(self._engine.time(), session),
                 proposal.ignore_outcome,
             )
+        for session in self.registry.take_ending(now):
+            self.registry.stop_attempts(session)
         self._silence_detector.check(now)
         self._assignments.rebalance(now)
         self._advice_queue.send_waiting()
--- a/mulberrywalk/replica/leader_test.py
+++ b/mulberrywalk/replica/leader_test.py
@@ -22,6 +22,7 @@
 # The rule's bound on a task of a cancelled job: cancel_ms and stopMs.
 CALM_S = 3.2
 TARGETS = 3
+CUT_S = 5.5
 
 
 class Model:
@@ -30,8 +31,7 @@
     Whether a target runs a start past its deadline while its lease goes on is
     left open by the platform's pages (docs/PLATFORM.md); has_strict_targets
     tells that none does. unanswered_s is for how long targets that leave may
-    work on after their deregistration. Above zero a task may run twice: the
-    leader takes such a target for gone when it isn't heard from for 900 ms.
+    work on after a deregistration that gets no answer.
     """
 
     def __init__(self, seed, *, has_strict_targets, unanswered_s):
@@ -224,10 +224,16 @@
 
 
 def play(
-    seed, monkeypatch, rounds=3, *, has_strict_targets=True, unanswered_s=0
+    seed,
+    monkeypatch,
+    rounds=3,
+    *,
+    kind=Model,
+    has_strict_targets=True,
+    unanswered_s=0,
 ):
     """Play one seed; return the model, its invariants checked."""
-    model = Model(
+    model = kind(
         seed, has_strict_targets=has_strict_targets, unanswered_s=unanswered_s
     )
     monkeypatch.setattr(clock, 'monotonic_ms', fakes.now_ms)
@@ -251,3 +257,41 @@
 ):
     model = play(seed, monkeypatch, has_strict_targets=has_strict_targets)
     assert sum(len(one.runs) for one in model.workers.values())
+
+
+class DepartureModel(Model):
+    """A target that leaves is cut off one way or both, at any moment."""
+
+    async def trouble(self):
+        for _ in range(9):
+            await self.submit()
+        await anyio.sleep(1)
+        worker = max(self.workers.values(), key=lambda one: len(one.live()))
+        assert worker.live()
+        stay_s = self.rng.uniform(1.5, 3)
+        worker.is_leaving = True
+        self.group.start_soon(worker.leave, stay_s, self.unanswered_s)
+        await anyio.sleep(stay_s + self.rng.uniform(-0.7, 0.7))
+        worker.cut_way = self.rng.choice(tuple(target_fakes_test.Way))
+        worker.is_cut = True
+        await anyio.sleep(CUT_S)
+        worker.is_cut = False
+
+    async def submit(self):
+        """Hand in work that lasts longer than its estimate."""
+        specification = cell_test.specify(
+            self.log.next_number(),
+            job.Kind.WORKFLOW,
+            steps=(cell_test.step(estimate_ms=300),),
+            payload=str(self.rng.uniform(2, 15)),
+        )
+        self.log.propose(event.JobSubmitted, specification, 'd')
+
+
+@pytest.mark.parametrize('seed', range(12))
+def test_leaving_target_that_is_cut_off_has_its_tasks_run_once(
+    seed, monkeypatch
+):
+    """Guards against tasks run twice when a leaving target is cut off."""
+    model = play(seed, monkeypatch, kind=DepartureModel, unanswered_s=9)
+    assert sum(len(one.runs) for one in model.workers.values())
--- a/mulberrywalk/replica/registry.py
+++ b/mulberrywalk/replica/registry.py
@@ -6,14 +6,18 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+import anyio
 
 from ..core import event, identity, outcome
-from . import engine
+from ..telemetry import clock
+from . import engine, proposal
 
-# A target that works is heard from within the longest poll of a busy target
-# and the time for its answer, as long as it can be reached.
-GONE_MS = 900
+# From the round in which attempts are stopped until their target has listed
+# the ends, beyond the time that the target takes to stop them.
+STOP_DELAY_MS = 300
+_CHECK_INTERVAL_S = 0.02
+# Every attempt is stopped that would not end at once.
+_NO_TIME_MS = 0
 
 
 class Registry:
@@ -25,16 +29,16 @@
         # The incarnation and sequence number of the newest heartbeat of each
         # target.
         self._latest: dict[identity.TargetId, tuple[int, int]] = {}
-        # The sessions that were deregistered, and when.
-        self._deregistered: dict[identity.SessionId, int] = {}
+        # When to stop what the targets that leave still run.
+        self._stop_at: dict[identity.SessionId, int] = {}
 
     def reset(self) -> None:
         """Forget what was received during an earlier term.
 
-        The leases of targets that have gone run out then.
+        Targets that leave tell their remaining time again.
         """
         self._latest.clear()
-        self._deregistered.clear()
+        self._stop_at.clear()
 
     async def process_heartbeat(
         self, heartbeat: event.TargetHeartbeat
@@ -51,6 +55,7 @@
         record = self._engine.tables.targets.get(announcement.target)
         session = self._find_session(announcement)
         if record is not None and session is not None:
+            self._schedule_stop(session, heartbeat)
             if not heartbeat.is_leaving or record.is_leaving:
                 return outcome.Recorded()
             return await self._engine.propose_and_wait(
@@ -85,41 +90,79 @@
         )
         return all(needed.pool != pool for needed in specifications)
 
-    def deregister(
-        self, target: identity.TargetId, born_at: int, now: int
-    ) -> outcome.Outcome:
-        """Note that a target that was leaving ends.
+    async def deregister(
+        self, target: identity.TargetId, born_at: int
+    ) -> outcome.Outcome | None:
+        """End the session of a target that leaves, once it runs nothing.
+
+        What it still runs is stopped first. A target ends when this call is
+        answered, or some seconds later without an answer, and works on until
+        then: that it is not heard from does not show that it has ended. Its
+        attempts have ended when it has listed their ends, or with its lease.
+        The wait for this has no limit of its own.
 
         born_at names the incarnation, zero if the call doesn't tell it.
         Nothing changes for a target that is not leaving or for another
-        incarnation: the call may be a delayed one of an earlier one. now is
-        a monotonic time in milliseconds.
+        incarnation: the call may be a delayed one of an earlier one. Returns
+        None if this replica no longer leads.
         """
+        session = self._find_leaving(target, born_at)
+        if session is None:
+            return outcome.Recorded()
+        if self._has_attempts(session):
+            self.stop_attempts(session)
+        while self._has_attempts(session):
+            if not self._engine.is_serving():
+                return None
+            await anyio.sleep(_CHECK_INTERVAL_S)
+        return await self._engine.propose_and_wait(
+            event.SessionExpired(self._engine.time(), session)
+        )
+
+    def take_ending(self, now: int) -> list[identity.SessionId]:
+        """Return the sessions whose attempts have to be stopped now, once.
+
+        Their targets may end soon after, as they have announced. An attempt
+        that a target still runs when it ends is known to have ended only with
+        the lease. now is a monotonic time in milliseconds.
+        """
+        ending = [name for name, at in self._stop_at.items() if at <= now]
+        for session in ending:
+            self._stop_at.pop(session)
+        return [name for name in ending if self._has_attempts(name)]
+
+    def stop_attempts(self, session: identity.SessionId) -> None:
+        """Stop all that a leaving target runs, so that it runs elsewhere."""
+        self._engine.propose(
+            event.DepartureAnnounced(self._engine.time(), session, _NO_TIME_MS),
+            proposal.ignore_outcome,
+        )
+
+    def _schedule_stop(
+        self, session: identity.SessionId, heartbeat: event.TargetHeartbeat
+    ) -> None:
+        """Note when to stop what a leaving target runs, the earliest counts."""
+        if not heartbeat.is_leaving or heartbeat.remaining_ms is None:
+            return
+        ends_at = clock.monotonic_ms() + heartbeat.remaining_ms
+        stop_at = ends_at - heartbeat.stop_ms - STOP_DELAY_MS
+        self._stop_at[session] = min(
+            stop_at, self._stop_at.get(session, stop_at)
+        )
+
+    def _has_attempts(self, session: identity.SessionId) -> bool:
+        return bool(self._engine.tables.attempts_by_session.get(session))
+
+    def _find_leaving(
+        self, target: identity.TargetId, born_at: int
+    ) -> identity.SessionId | None:
+        """Return the session of an incarnation that leaves, or None."""
         tables = self._engine.tables
         record = tables.targets.get(target)
         if record is None or not record.is_leaving or record.session is None:
-            return outcome.Recorded()
-        if born_at in {0, tables.sessions[record.session].born_at}:
-            self._deregistered.setdefault(record.session, now)
-        return outcome.Recorded()
-
-    def take_gone(
-        self, now: int, heard_at: Callable[[identity.SessionId], int]
-    ) -> list[identity.SessionId]:
-        """Return the deregistered sessions whose targets have ended, once.
-
-        A target ends when its call is answered, or some seconds later if it
-        gets no answer, and works on until then. heard_at returns when the
-        target of a session was last heard from.
-        """
-        gone = [
-            session
-            for session, at in self._deregistered.items()
-            if now - max(at, heard_at(session)) >= GONE_MS
-        ]
-        for session in gone:
-            self._deregistered.pop(session)
-        return gone
+            return None
+        is_meant = born_at in {0, tables.sessions[record.session].born_at}
+        return record.session if is_meant else None
 
     def _find_session(
         self, announcement: event.Announcement
--- a/mulberrywalk/replica/registry_test.py
+++ b/mulberrywalk/replica/registry_test.py
@@ -6,9 +6,11 @@
 import msgspec
 
 from ..core import cell_test, configuration, event, identity, job, outcome
-from . import registry
+from ..telemetry import clock
+from . import leader_fakes_test, registry
 
 TARGET = identity.TargetId('t0')
+STOP_MS = 200
 
 
 class FakeEngine:
@@ -17,6 +19,7 @@
     def __init__(self):
         self.cell = cell_test.Cell()
         self.proposed = []
+        self.is_leading = True
 
     @property
     def tables(self):
@@ -25,12 +28,20 @@
     def time(self):
         return self.cell.now
 
-    async def propose_and_wait(self, new_event):
+    def is_serving(self):
+        return self.is_leading
+
+    def propose(self, new_event, callback):
         self.proposed.append(type(new_event))
         fields = [
             getattr(new_event, name) for name in new_event.__struct_fields__
         ]
-        return self.cell.apply(type(new_event), *fields[1:])[0].outcome
+        callback(self.cell.apply(type(new_event), *fields[1:])[0].outcome)
+
+    async def propose_and_wait(self, new_event):
+        outcomes = []
+        self.propose(new_event, outcomes.append)
+        return outcomes[0]
 
 
 def heartbeat(sequence=1, born_at=100, *, is_leaving=False):
@@ -99,61 +110,160 @@
 
 
 class Departed:
-    """A target that has announced its end, and what it is heard from."""
-
-    def __init__(self, born_at=100):
-        self.registry = registry.Registry(FakeEngine())
-        self.heard_at = 0
-        beats = (
-            heartbeat(1, born_at=born_at),
-            heartbeat(2, born_at=born_at, is_leaving=True),
+    """A target that has announced its end, with an attempt at work."""
+
+    def __init__(self, born_at=100, remaining_ms=None):
+        self.engine = FakeEngine()
+        self.registry = registry.Registry(self.engine)
+        self.beat(heartbeat(1, born_at))
+        self.engine.cell.submit(cell_test.specify(1, job.Kind.WORKFLOW))
+        self.engine.cell.dispatch()
+        attempt = cell_test.only(self.engine.tables.attempts.values())
+        self.engine.cell.start(attempt)
+        self.attempt = attempt
+        self.leave(2, born_at, remaining_ms)
+
+    def beat(self, sent):
+        anyio.run(self.registry.process_heartbeat, sent)
+
+    def leave(self, sequence, born_at, remaining_ms):
+        leaving = heartbeat(sequence, born_at, is_leaving=True)
+        self.beat(
+            dataclasses.replace(
+                leaving, remaining_ms=remaining_ms, stop_ms=STOP_MS
+            )
         )
-        for beat in beats:
-            anyio.run(self.registry.process_heartbeat, beat)
 
-    def gone(self, now):
-        return self.registry.take_gone(now, lambda _: self.heard_at)
+    def is_stopping(self):
+        attempt = self.engine.tables.attempts[self.attempt.attempt]
+        return attempt.stopping is job.StopReason.EVACUATED
+
+    def list_end(self):
+        self.engine.cell.report(self.attempt, job.EndReason.STOPPED)
+
+    def deregister(self, born_at=0, *, later=None):
+        """Deregister; return the answer, None without one in 10 s.
+
+        later is called while the call waits.
+        """
+        answers = []
+
+        async def ask():
+            answers.append(await self.registry.deregister(TARGET, born_at))
+
+        async def run():
+            async with anyio.create_task_group() as group:
+                group.start_soon(ask)
+                await anyio.sleep(1)
+                assert answers or self.is_stopping()
+                if later is not None:
+                    later()
+                await anyio.sleep(10)
+                group.cancel_scope.cancel()
+
+        options = {'loop_factory': leader_fakes_test.VirtualLoop}
+        anyio.run(run, backend_options=options)
+        return answers[0] if answers else None
+
+    def has_session(self):
+        return bool(self.engine.tables.sessions)
+
+
+def test_silent_target_that_deregistered_keeps_its_work():
+    """Guards against tasks run twice when a leaving target is cut off.
+
+    It is not heard from, and works on until it ends without an answer.
+    """
+    scene = Departed()
+    assert scene.deregister() is None
+    assert scene.has_session()
+    assert scene.attempt.attempt in scene.engine.tables.attempts
+
+
+def test_deregistration_is_answered_once_the_target_runs_nothing():
+    scene = Departed()
+    answer = scene.deregister(later=scene.list_end)
+    assert isinstance(answer, outcome.Recorded)
+    assert not scene.has_session()
+
+
+def test_idle_target_that_deregisters_is_answered_at_once():
+    scene = Departed()
+    scene.list_end()
+    assert isinstance(scene.deregister(), outcome.Recorded)
+    assert not scene.has_session()
+
+
+def test_repeated_deregistration_ends_the_session_once():
+    scene = Departed()
+    for _ in range(2):
+        assert scene.deregister() is None
+    assert isinstance(scene.deregister(later=scene.list_end), outcome.Recorded)
+    assert isinstance(scene.deregister(), outcome.Recorded)
+    assert scene.engine.proposed.count(event.SessionExpired) == 1
 
 
 def test_deregistration_counts_only_after_a_departure():
     replica_engine = FakeEngine()
     target_registry = registry.Registry(replica_engine)
     anyio.run(target_registry.process_heartbeat, heartbeat(1))
-    target_registry.deregister(TARGET, 0, 1000)
-    assert not target_registry.take_gone(10_000, lambda _: 0)
+    anyio.run(target_registry.deregister, TARGET, 0)
+    assert replica_engine.tables.sessions
     anyio.run(target_registry.process_heartbeat, heartbeat(2, is_leaving=True))
-    target_registry.deregister(TARGET, 0, 10_000)
-    gone_at = 10_000 + registry.GONE_MS
-    assert not target_registry.take_gone(gone_at - 1, lambda _: 0)
-    session = replica_engine.tables.targets[TARGET].session
-    assert target_registry.take_gone(gone_at, lambda _: 0) == [session]
-    assert not target_registry.take_gone(gone_at, lambda _: 0)
+    anyio.run(target_registry.deregister, TARGET, 0)
+    assert not replica_engine.tables.sessions
 
 
-def test_deregistered_target_that_is_heard_from_is_not_gone():
-    """It works on for some seconds if the answer is lost."""
-    scene = Departed()
-    scene.registry.deregister(TARGET, 0, 1000)
-    for now in range(1400, 5000, 500):
-        scene.heard_at = now
-        assert not scene.gone(now + 499)
-    assert scene.gone(scene.heard_at + registry.GONE_MS)
+def test_deregistration_of_an_earlier_life_ends_no_session():
+    """It was held up on its way, and the target leaves again meanwhile."""
+    scene = Departed(born_at=200)
+    scene.list_end()
+    assert isinstance(scene.deregister(100), outcome.Recorded)
+    assert scene.has_session()
+    assert isinstance(scene.deregister(200), outcome.Recorded)
+    assert not scene.has_session()
 
 
-def test_repeated_deregistration_does_not_delay_the_end():
+def test_replica_that_no_longer_leads_answers_no_deregistration():
     scene = Departed()
-    for now in (1000, 1500):
-        scene.registry.deregister(TARGET, 0, now)
-    assert scene.gone(1000 + registry.GONE_MS)
 
+    def lose_leadership():
+        scene.engine.is_leading = False
 
-def test_deregistration_of_an_earlier_life_ends_no_session():
-    """It was held up on its way, and the target leaves again meanwhile."""
-    scene = Departed(born_at=200)
-    scene.registry.deregister(TARGET, 100, 1000)
-    assert not scene.gone(10_000)
-    scene.registry.deregister(TARGET, 200, 10_000)
-    assert scene.gone(20_000)
+    assert scene.deregister(later=lose_leadership) is None
+    assert event.SessionExpired not in scene.engine.proposed
+
+
+def test_work_is_stopped_before_its_target_may_end(monkeypatch):
+    """Guards against work that waits for a lease after a departure in order.
+
+    A target that has ended lists nothing any more.
+    """
+    monkeypatch.setattr(clock, 'monotonic_ms', lambda: 1000)
+    scene = Departed(remaining_ms=4000)
+    stop_at = 5000 - STOP_MS - registry.STOP_DELAY_MS
+    assert not scene.registry.take_ending(stop_at - 1)
+    assert scene.registry.take_ending(stop_at) == [scene.attempt.session]
+    assert not scene.registry.take_ending(stop_at)
+    scene.registry.stop_attempts(scene.attempt.session)
+    assert scene.is_stopping()
+
+
+def test_earliest_end_that_a_target_has_told_counts(monkeypatch):
+    monkeypatch.setattr(clock, 'monotonic_ms', lambda: 1000)
+    scene = Departed(remaining_ms=4000)
+    scene.leave(3, 100, 3000)
+    scene.leave(4, 100, 9000)
+    stop_at = 4000 - STOP_MS - registry.STOP_DELAY_MS
+    assert not scene.registry.take_ending(stop_at - 1)
+    assert scene.registry.take_ending(stop_at)
+
+
+def test_idle_target_that_leaves_has_nothing_to_stop(monkeypatch):
+    monkeypatch.setattr(clock, 'monotonic_ms', lambda: 1000)
+    scene = Departed(remaining_ms=4000)
+    scene.list_end()
+    assert not scene.registry.take_ending(5000)
 
 
 def configure(replica_engine, *pools):
--- a/mulberrywalk/replica/target_fakes_test.py
+++ b/mulberrywalk/replica/target_fakes_test.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import enum
 
 import anyio
 
@@ -34,9 +35,19 @@
         return int(self.attempt.rpartition('/')[2])
 
 
+class Way(enum.Enum):
+    """The packets of a target that a cut loses."""
+
+    BOTH = 'both'
+    TOWARDS = 'towards'
+    BACK = 'back'
+
+
 class Worker:
     """A target as the platform specifies it; born anew at each boot."""
 
+    cut_way = Way.BOTH
+
     def __init__(self, name, number, rng, log):
         self.name = name
         self.number = number
@@ -53,6 +64,7 @@
     def boot(self):
         self.is_up = True
         self.is_leaving = False
+        self.leaves_at = 0
         self.born = leader_fakes_test.wall_ms()
         self.booted_at = anyio.current_time()
         self.rate = self._rng.uniform(0.98, 1)
@@ -64,6 +76,14 @@
         self.barred = {}
         self.active = []
 
+    def can_hear(self):
+        """Return whether packets reach this target."""
+        return not self.is_cut or self.cut_way is Way.BACK
+
+    def is_heard(self):
+        """Return whether packets of this target arrive."""
+        return not self.is_cut or self.cut_way is Way.TOWARDS
+
     def clock_ms(self):
         elapsed_s = anyio.current_time() - self.booted_at
         return int(elapsed_s * self.rate * _MS)
@@ -90,7 +110,7 @@
         while True:
             await anyio.sleep(0.5)
             leading = self._log.leading
-            if self.is_up and not self.is_cut and leading is not None:
+            if self.is_up and self.is_heard() and leading is not None:
                 with anyio.move_on_after(1):
                     await leading.leader.registry.process_heartbeat(
                         self._heartbeat()
@@ -102,15 +122,12 @@
         A target that gets no answer ends some seconds later.
         """
         life = self.born
+        self.leaves_at = anyio.current_time() + after_s
         await anyio.sleep(after_s)
-        leading = self._log.leading
         if self.born != life or not self.is_up:
             return
-        if leading is not None and not self.is_cut:
-            leading.leader.registry.deregister(
-                self.name, life, leader_fakes_test.now_ms()
-            )
-        await anyio.sleep(unanswered_s)
+        with anyio.move_on_after(unanswered_s):
+            await self._deregister(life)
         if self.born == life:
             self.is_up = False
             await anyio.sleep(0.5)
@@ -165,6 +182,15 @@
                 run.stop_at = min(run.stop_at, anyio.current_time() + STOP_S)
         return _CALLS.DONE
 
+    async def _deregister(self, life):
+        """Return once an answer has come."""
+        answer = None
+        while answer is None or not self.can_hear():
+            if self._log.leading is not None and self.is_heard():
+                leading_registry = self._log.leading.leader.registry
+                answer = await leading_registry.deregister(self.name, life)
+            await anyio.sleep(0.1)
+
     def _list_end(self, run, reason):
         self.active.remove(run)
         number = len(self.ends) + 1
@@ -181,7 +207,14 @@
             address=f'a:{self.number}',
             lease_ms=LEASE_MS,
         )
-        return event.TargetHeartbeat(announced, self.sequence, self.is_leaving)
+        remaining_s = max(0, self.leaves_at - anyio.current_time())
+        return event.TargetHeartbeat(
+            announced,
+            self.sequence,
+            self.is_leaving,
+            remaining_ms=int(remaining_s * _MS) if self.is_leaving else None,
+            stop_ms=int(STOP_S * _MS),
+        )
 
     def _check_alone(self, run):
         self.twice.extend(
@@ -221,8 +254,9 @@
         waits_until = anyio.current_time() + wait_s
         while anyio.current_time() < waits_until and not worker.listing().ended:
             await anyio.sleep(0.05)
-        is_there = worker.is_up and worker.born == born and not worker.is_cut
-        return worker.listing() if is_there else _CALLS.NO_REPLY
+        is_there = worker.is_up and worker.born == born
+        is_answered = is_there and worker.is_heard()
+        return worker.listing() if is_answered else _CALLS.NO_REPLY
 
     async def start(self, destination, command, deadline_ms, term):
         worker = self._workers[destination.target]
@@ -264,9 +298,9 @@
         if fate == 'late':
             delay_s = self._rng.uniform(0.1, 3)
             asyncio.get_event_loop().call_later(delay_s, arrive)
-        is_taken = fate in {'fine', 'unanswered'} and not worker.is_cut
+        is_taken = fate in {'fine', 'unanswered'} and worker.can_hear()
         answer = arrive() if is_taken else _CALLS.NO_REPLY
-        if fate == 'fine' and not worker.is_cut:
+        if fate == 'fine' and worker.can_hear() and worker.is_heard():
             return answer
         await anyio.sleep(timeout_s)
         return _CALLS.NO_REPLY
