Let a majority of the voters outlive each removal of replicas that have successors

Cause: a replica that had ended for good kept its vote until it had been silent for 3 s, though its successor had caught up. Within this time a second removal, which by DEPLOY.md is no loss either, left one of three voters, and without a quorum none can be replaced.

Ruled out: successors that lag (caught up 5 s before), a quorum without a leader (two of three voters were gone), entries that find no leader (there was none).

A replica that gets SIGTERM hands over its leadership to the newest voter, asks the leader to be no voter any more and ends when that is committed (4 s at most). On the platform a silent voter is replaced after 1.5 s instead of 3.

Leadership went to and fro between replicas that were ending, 26 terms in 1.2 s; the newest voter gets it now.

--- a/mulberrywalk/consensus/leadership.py
+++ b/mulberrywalk/consensus/leadership.py
@@ -92,7 +92,11 @@
     event: node.HandoverProposed,
     effects: list[node.Effect],
 ) -> None:
-    """Transfer leadership to the voter whose log is the most complete."""
+    """Transfer leadership to the newest voter that answers and can lead soon.
+
+    Older ones may be ending as well: a successor joins after the replica that
+    it replaces.
+    """
     if state.role is not node.Role.LEADER or state.handover_to is not None:
         return
     voters = [
@@ -103,8 +107,10 @@
     successor = max(
         voters,
         key=lambda voter: (
-            state.progress[voter].match_index,
-            state.progress[voter].acknowledged_at,
+            voter not in event.avoided,
+            _answers(state, voter),
+            state.progress[voter].match_index >= state.commit_index,
+            voters.index(voter),
         ),
     )
     state.handover_to = successor
@@ -238,6 +244,11 @@
         effects.append(node.SendSnapshot(peer, state.term, state.now))
 
 
+def _answers(state: node.Node, voter: message.ReplicaId) -> bool:
+    quiet_ms = state.now - state.progress[voter].acknowledged_at
+    return quiet_ms <= state.timing.election_timeout_ms
+
+
 def _request_handover_if_ready(
     state: node.Node, effects: list[node.Effect]
 ) -> None:
--- a/mulberrywalk/consensus/message.py
+++ b/mulberrywalk/consensus/message.py
@@ -66,9 +66,18 @@
         return len(self.voters()) // 2 + 1
 
     def replace(self, member: Member) -> Membership:
-        """Return a copy in which the given member is added or replaced."""
-        others = self.remove(member.identity).members
-        return Membership((*others, member))
+        """Return a copy in which the given member is replaced, or added last.
+
+        So the members stay in the order in which they joined.
+        """
+        if self.find(member.identity) is None:
+            return Membership((*self.members, member))
+        return Membership(
+            tuple(
+                member if known.identity == member.identity else known
+                for known in self.members
+            )
+        )
 
     def remove(self, identity: ReplicaId) -> Membership:
         """Return a copy without the member of the given identity."""
--- a/mulberrywalk/consensus/node.py
+++ b/mulberrywalk/consensus/node.py
@@ -156,7 +156,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class HandoverProposed:
-    """Requests a transfer of leadership to another voter."""
+    """Requests a transfer of leadership to another voter.
+
+    One of those to avoid gets it only if there is no other.
+    """
+
+    avoided: frozenset[message.ReplicaId] = frozenset()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/mulberrywalk/consensus/raft_test.py
+++ b/mulberrywalk/consensus/raft_test.py
@@ -438,6 +438,32 @@
     assert cluster.leader() != old
 
 
+def test_handover_prefers_newer_voters_and_avoids_those_that_end(cluster):
+    """Guards against leadership that goes to and fro between those that end."""
+    cluster.run(1000)
+    leader = cluster.leader()
+    others = [name for name in cluster.nodes if name != leader]
+    assert hand_over_from(cluster, leader) == others[-1]
+
+
+def test_handover_avoids_a_voter_that_ends_or_is_silent(cluster):
+    cluster.run(1000)
+    leader = cluster.leader()
+    others = [name for name in cluster.nodes if name != leader]
+    assert hand_over_from(cluster, leader, others[-1]) == others[0]
+    cluster.paused.add(others[-1])
+    cluster.run(700)
+    assert hand_over_from(cluster, cluster.leader()) == leader
+
+
+def hand_over_from(cluster, leader, *avoided):
+    """Let a leader hand over; return the next one."""
+    cluster.step(leader, node.HandoverProposed(frozenset(avoided)))
+    cluster.run(300)
+    assert cluster.leader() != leader
+    return cluster.leader()
+
+
 def test_candidate_with_a_lower_term_can_win(cluster):
     """The replica with the longest log has the lowest term.
 
--- a/mulberrywalk/platform/replica.py
+++ b/mulberrywalk/platform/replica.py
@@ -14,12 +14,12 @@
 from hypercorn import config as hypercorn_config
 
 from ..consensus import message
-from ..replica import leader, program
+from ..replica import membership, program
 from ..storage import disk as storage
 from ..telemetry import journal, retry
 from . import control_api, http, setting, wire
 
-_REPAIR_AFTER_MS = 3000
+_REPAIR_AFTER_MS = 1500
 _SNAPSHOT_ENTRIES = 1500
 # The lease as a fraction of maxHoldMs. It is long enough for all replicas to
 # fail at once and restart, and short enough that the tasks of a lost worker are
@@ -131,7 +131,7 @@
         replicas=settings.seed_peer_addresses(),
         statsd='',
         log_format=os.environ.get(_LOG_FORMAT_VARIABLE, 'json'),
-        policy=leader.MembershipPolicy(
+        policy=membership.Policy(
             voters=2 * settings.fault_tolerance.machines + 1,
             repair_after_ms=_REPAIR_AFTER_MS,
         ),
--- a/mulberrywalk/replica/command.py
+++ b/mulberrywalk/replica/command.py
@@ -10,7 +10,7 @@
 from ..consensus import message
 from ..storage import disk as storage
 from ..telemetry import journal, setting
-from . import leader, program
+from . import membership, program
 
 _LOG_FORMATS = frozenset(('text', 'json'))
 _MAX_DURATION_MS = 86_400_000
@@ -86,7 +86,7 @@
         replicas=checker.addresses('--replicas', replicas),
         statsd=checker.optional_address('--statsd', statsd),
         log_format=checker.choice('--log-format', log_format, _LOG_FORMATS),
-        policy=leader.MembershipPolicy(
+        policy=membership.Policy(
             checker.number('--voters', voters, 1, 9),
             checker.number(
                 '--repair-after-ms', repair_after_ms, 1000, _MAX_DURATION_MS
--- a/mulberrywalk/replica/leader.py
+++ b/mulberrywalk/replica/leader.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import dataclasses
 from collections.abc import Callable
 from types import MappingProxyType
 from typing import Any
@@ -10,7 +9,7 @@
 import anyio
 import msgspec
 
-from ..consensus import node, repair
+from ..consensus import node
 from ..core import (
     advice_prefetch,
     confirmation,
@@ -29,6 +28,7 @@
     engine,
     lease,
     link,
+    membership,
     message_handler,
     proposal,
     registry,
@@ -44,14 +44,6 @@
 _GAUGE_INTERVAL_MS = 1000
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class MembershipPolicy:
-    """The desired number of voters, and when a silent one is replaced."""
-
-    voters: int
-    repair_after_ms: int
-
-
 class Leader:
     """Serves the entries, tracks leases, carries out effects and repairs."""
 
@@ -60,7 +52,7 @@
         replica_engine: engine.Engine,
         logger: journal.Journal,
         metrics: metric.Metrics,
-        policy: MembershipPolicy,
+        policy: membership.Policy,
         statuses: status.Statuses,
     ) -> None:
         """Prepare; nothing runs before this replica leads."""
@@ -79,7 +71,9 @@
         self._absence_monitor = absence_monitor.AbsenceMonitor(
             replica_engine, logger, metrics
         )
-        self._policy = policy
+        self.membership = membership.Manager(
+            replica_engine, logger, metrics, policy
+        )
         self._term = 0
         self._dispatched_at = 0
         self._repaired_at = 0
@@ -123,29 +117,6 @@
             if execute is not None:
                 execute(applied_effect)
 
-    def join(self, request: wire.JoinRequest) -> wire.JoinReply:
-        """Admit a replica with an empty disk as a spare.
-
-        Any other replica than the leader answers with the leader's address.
-        """
-        raft_node = self._engine.node
-        is_member = (
-            raft_node.membership.find(request.member.identity) is not None
-        )
-        if not self._engine.is_serving():
-            leader = (
-                raft_node.membership.find(raft_node.leader)
-                if raft_node.leader
-                else None
-            )
-            address = leader.address if leader else ''
-            return wire.JoinReply(is_member, address)
-        planned = repair.add_learner(raft_node, request.member)
-        if planned is not None:
-            self._journal.record('spare admitted', request.member.identity)
-            self._engine.enqueue(node.MembershipProposed(planned))
-        return wire.JoinReply(is_member, '')
-
     def _reset(self) -> None:
         now = clock.monotonic_ms()
         self._leases = lease.Leases(now, self._lease_length_of)
@@ -221,7 +192,7 @@
         self._dispatch_if_due(now)
         if now - self._repaired_at >= _REPAIR_INTERVAL_MS:
             self._repaired_at = now
-            self._repair_membership()
+            self.membership.adjust(now)
         if now - self._gauged_at >= _GAUGE_INTERVAL_MS:
             self._gauged_at = now
             self._update_gauges()
@@ -253,17 +224,6 @@
             or (tables.due and tables.due[0][0] <= event_time)
         )
 
-    def _repair_membership(self) -> None:
-        planned = repair.plan_membership_change(
-            self._engine.node,
-            voter_count=self._policy.voters,
-            timeout_ms=self._policy.repair_after_ms,
-        )
-        if planned is not None:
-            voter_names = ', '.join(planned.voters())
-            self._journal.record('membership proposed', f'voters {voter_names}')
-            self._engine.enqueue(node.MembershipProposed(planned))
-
     def _update_gauges(self) -> None:
         tables = self._engine.tables
         self._metrics.gauge('attempts', len(tables.attempts))
@@ -279,20 +239,11 @@
             max(self._assignments.count_by_entry().values(), default=0),
         )
         self._absence_monitor.report()
-        self._report_learners()
+        self.membership.report_learners()
         for step, detail in view.explain_queue_heads(tables):
             job = step.split('.', maxsplit=1)[0]
             self._journal.record('first in queue', f'{step} {detail}', job=job)
 
-    def _report_learners(self) -> None:
-        """Log the spares that cannot replace a voter yet."""
-        lagging = repair.describe_lagging_learners(
-            self._engine.node, self._policy.repair_after_ms
-        )
-        self._metrics.gauge('spares_behind', len(lagging))
-        for replica, detail in lagging:
-            self._journal.record('spare behind', f'{replica} {detail}')
-
     def _send_initial_state(self, new_link: link.Link) -> None:
         new_link.send(self._members_changed())
         new_link.send(self._configuration_changed())
--- a/mulberrywalk/replica/leader_fakes_test.py
+++ b/mulberrywalk/replica/leader_fakes_test.py
@@ -13,7 +13,7 @@
 from ..consensus import node
 from ..core import event, reducer, snapshot, state
 from ..telemetry import clock, cost, journal, metric
-from . import leader
+from . import leader, membership
 
 BORN_BASE = 1_700_000_000_000
 _MS = 1000
@@ -132,7 +132,7 @@
             self,
             Lines(self._name),
             metric.Exposition(metric.NoMetrics()),
-            leader.MembershipPolicy(1, _MS),
+            membership.Policy(1, _MS),
             meter,
         )
 
--- a/mulberrywalk/replica/program.py
+++ b/mulberrywalk/replica/program.py
@@ -18,15 +18,13 @@
 from ..consensus import message, node
 from ..storage import disk as storage
 from ..telemetry import cost, journal, metric, retry
-from ..transport import channel, wire
-from . import engine, leader, peer, status
+from ..transport import admission, channel, wire
+from . import engine, leader, membership, peer, retirement, status
 
 _EXIT_FAILURE = 1
 EXIT_STORAGE = 3
 # How long the server may take to close its streams when the process ends.
 _SERVER_STOP_TIMEOUT_S = 1.0
-_HANDOVER_TIMEOUT_S = 4.0
-_POLL_INTERVAL_S = 0.05
 _JOIN_INTERVAL_S = 0.2
 # Silence of the leader after which a replica asks to join again.
 _LEADER_TIMEOUT_MS = 2500
@@ -44,7 +42,7 @@
     replicas: tuple[str, ...]
     statsd: str
     log_format: str
-    policy: leader.MembershipPolicy
+    policy: membership.Policy
     snapshot_entries: int
 
 
@@ -137,10 +135,10 @@
         group.start_soon(replica_engine.run)
         group.start_soon(replica_leader.run)
         group.start_soon(_join_cell, settings, replica_engine, logger)
-        group.start_soon(_stop_on_signal, replica_engine, logger, group)
         parts = ReplicaComponents(
             settings, replica_engine, replica_leader, logger, metrics
         )
+        group.start_soon(_stop_on_signal, parts, group)
         group.start_soon((extension or NoExtension()).run, parts)
 
 
@@ -167,6 +165,7 @@
     unary_methods = _UnaryMethods(replica_leader, logger)
     calls = {
         channel.JOIN: unary_methods.join,
+        channel.LEAVE: unary_methods.leave,
         channel.TIMELINE: unary_methods.show_timeline,
     }
     await retry.until_done(
@@ -194,13 +193,18 @@
     def __init__(
         self, replica_leader: leader.Leader, logger: journal.Journal
     ) -> None:
-        self._leader = replica_leader
+        self._membership = replica_leader.membership
         self._journal = logger
 
     async def join(self, encoded: bytes) -> bytes:
         """Answer a request of a replica to join the cell."""
-        request = msgspec.msgpack.decode(encoded, type=wire.JoinRequest)
-        return msgspec.msgpack.encode(self._leader.join(request))
+        request = msgspec.msgpack.decode(encoded, type=admission.JoinRequest)
+        return msgspec.msgpack.encode(self._membership.join(request))
+
+    async def leave(self, encoded: bytes) -> bytes:
+        """Answer a request of a replica that is ending."""
+        request = msgspec.msgpack.decode(encoded, type=admission.LeaveRequest)
+        return msgspec.msgpack.encode(self._membership.leave(request))
 
     async def show_timeline(self, encoded: bytes) -> bytes:
         """Return the matching log lines that this replica holds."""
@@ -225,7 +229,7 @@
         settings.data_centre,
         voter=False,
     )
-    encoded = msgspec.msgpack.encode(wire.JoinRequest(member))
+    encoded = msgspec.msgpack.encode(admission.JoinRequest(member))
     addresses = _initial_addresses(settings)
     was_member = False
     while True:
@@ -256,14 +260,14 @@
     return collections.deque(settings.replicas or (settings.advertise,))
 
 
-async def _ask_to_join(address: str, encoded: bytes) -> wire.JoinReply:
+async def _ask_to_join(address: str, encoded: bytes) -> admission.JoinReply:
     """Ask a replica to admit this one; without an answer, return no leader."""
     try:
         return await channel.call_decoded(
-            address, channel.JOIN, encoded, wire.JoinReply
+            address, channel.JOIN, encoded, admission.JoinReply
         )
     except ConnectionError:
-        return wire.JoinReply(is_admitted=False, leader='')
+        return admission.JoinReply(is_admitted=False, leader='')
 
 
 def _is_active_member(replica_engine: engine.Engine) -> bool:
@@ -277,24 +281,20 @@
     return is_member and has_leader
 
 
-async def _stop_on_signal(
-    replica_engine: engine.Engine,
-    logger: journal.Journal,
-    group: TaskGroup,
-) -> None:
-    """Hand over and stop on SIGTERM or SIGINT; a second stops at once."""
+async def _stop_on_signal(parts: ReplicaComponents, group: TaskGroup) -> None:
+    """Retire and stop on SIGTERM or SIGINT; a second stops at once."""
+    retiring = retirement.Retirement(
+        parts.engine, parts.leader.membership, parts.settings.policy.voters
+    )
+
+    async def retire_and_stop() -> None:
+        await retiring.run()
+        group.cancel_scope.cancel()
+
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
         async for _ in signals:
-            logger.record('stopping')
-            group.start_soon(_hand_over, replica_engine, group)
+            parts.logger.record('stopping')
+            group.start_soon(retire_and_stop)
             break
         async for _ in signals:
             group.cancel_scope.cancel()
-
-
-async def _hand_over(replica_engine: engine.Engine, group: TaskGroup) -> None:
-    with anyio.move_on_after(_HANDOVER_TIMEOUT_S):
-        replica_engine.enqueue(node.HandoverProposed())
-        while replica_engine.node.role is node.Role.LEADER:
-            await anyio.sleep(_POLL_INTERVAL_S)
-    group.cancel_scope.cancel()
--- a/mulberrywalk/transport/channel.py
+++ b/mulberrywalk/transport/channel.py
@@ -26,6 +26,7 @@
 PEER = 'Peer'
 LINK = 'Link'
 JOIN = 'Join'
+LEAVE = 'Leave'
 TIMELINE = 'Timeline'
 
 CHANNEL_OPTIONS = (
--- a/mulberrywalk/transport/channel_test.py
+++ b/mulberrywalk/transport/channel_test.py
@@ -14,7 +14,7 @@
 import pytest
 
 from ..telemetry import cost
-from . import channel, wire
+from . import admission, channel, wire
 
 
 class FakeRawStream:
@@ -72,7 +72,7 @@
 
     monkeypatch.setattr(channel, 'call', fake_call)
     with pytest.raises(ConnectionError):
-        anyio.run(channel.call_decoded, 'a:1', 'Join', b'', wire.JoinReply)
+        anyio.run(channel.call_decoded, 'a:1', 'Join', b'', admission.JoinReply)
 
 
 def free_address():
--- a/mulberrywalk/transport/wire.py
+++ b/mulberrywalk/transport/wire.py
@@ -351,19 +351,6 @@
     address: str = ''
 
 
-class JoinRequest(msgspec.Struct, frozen=True):
-    """A replica with an empty disk asks to be admitted as a spare."""
-
-    member: message.Member
-
-
-class JoinReply(msgspec.Struct, frozen=True):
-    """Whether the spare was admitted; leader is the address to ask instead."""
-
-    is_admitted: bool
-    leader: str
-
-
 class TimelineRequest(msgspec.Struct, frozen=True):
     """Ask a replica for the timeline lines that match a filter."""
 
