--- a/tests/replacement_test.py
+++ b/tests/replacement_test.py
@@ -85,7 +85,7 @@
     ending = [replaced_cell.processes[name] for name in FOUNDERS]
     for process in ending:
         process.signal(signal.SIGTERM)
-    assert [process.stop() for process in ending] == [0, 0, 0]
+    assert [process.running.wait(10) for process in ending] == [0, 0, 0]
     replaced_cell.processes['replica-5'].kill()
     wait_known(replaced_cell, job)
     wait_known(replaced_cell, submit(replaced_cell, 'after'))
